--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+# The front door: make help lists what there is.
+.DEFAULT_GOAL := help
+GO ?= go
+
+.PHONY: help build run smoke test fuzz spec fmt lint generate clean
+
+help: ## Lists the targets.
+	@awk -F':.*## ' '/^[a-z-]+:.*## /{printf "  %-10s %s\n", $$1, $$2}' $(MAKEFILE_LIST)
+
+build: ## Builds bin/cactustide and bin/lab.
+	@mkdir -p bin
+	$(GO) build -o bin/cactustide .
+	$(GO) build -o bin/lab ./lab
+
+run: build ## Runs stand-ins, two entries and their agents until Ctrl-C.
+	@scripts/run.sh
+
+smoke: build ## Runs everything on free ports, checks one request of each kind.
+	@scripts/smoke.sh
+
+test: ## Runs the tests.
+	@scripts/test.sh
+
+
+
+spec: ## Model checks the specifications with spin.
+	@scripts/spec.sh
+
+fmt: ## Formats the Go code.
+	gofumpt -w $$(git ls-files '*.go' | grep -v '\.pb\.go$$')
+
+lint: ## Checks formatting and runs the linter.
+	@test -z "$$(gofumpt -l $$(git ls-files '*.go' | grep -v '\.pb\.go$$'))" || { gofumpt -l .; exit 1; }
+	golangci-lint run ./...
+
+generate: ## Generates the messages from the schema.
+	protoc --go_out=. --go_opt=module=cactustide wire/wire.proto
+
+clean: ## Removes what was built.
+	rm -rf bin
--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,307 @@
+// Package agent is the daemon beside one upstream and the only way in to it.
+// It decides admission, order, fairness and draining, claims the calls that
+// must run at most once, and knows without lag what its upstream runs.
+package agent
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
+
+	"cactustide/claim"
+	"cactustide/config"
+	"cactustide/meter"
+	"cactustide/peer"
+	"cactustide/retry"
+	"cactustide/sched"
+	"cactustide/setup"
+	"cactustide/store"
+	"cactustide/wire"
+)
+
+// Kind tells the errors of this package apart.
+type Kind string
+
+// Kinds of errors.
+const (
+	KindListen   Kind = "listen"
+	KindPlatform Kind = "platform"
+)
+
+// Error is the error of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error formats the operation, the kind and the cause.
+func (e *Error) Error() string {
+	return "agent: " + e.Op + ": " + string(e.Kind) + ": " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+const (
+	tickInterval   = 10 * time.Millisecond
+	healthInterval = 500 * time.Millisecond
+	claimInterval  = time.Second // Between tries for an incarnation number.
+	paceWeight     = 0.1         // Of the newest run in the smoothed pace.
+)
+
+// Agent is the daemon's state.
+type Agent struct {
+	settings *setup.Settings
+	log      *meter.Log
+	scope    tally.Scope
+	platform *store.Client
+	claims   claim.Store
+	upstream *upstream
+	gate     *gate
+	marks    *retry.Marks
+	config   config.Holder
+	// effective is the document with its preset applied.
+	effective atomic.Pointer[config.Document]
+	// number is the incarnation, 0 until the platform gave one.
+	number   atomic.Uint64
+	healthy  atomic.Bool
+	stopping atomic.Bool
+	// pace is the smoothed time for each token, microseconds.
+	pace atomic.Int64
+	runs runs
+
+	servers servers
+	cancel  context.CancelFunc
+	group   *errgroup.Group
+}
+
+// New returns an agent. Start runs it.
+func New(s *setup.Settings, log *meter.Log, m *meter.Meter) *Agent {
+	a := &Agent{
+		settings: s,
+		log:      log,
+		scope:    m.Scope,
+		platform: store.New(s.Platform),
+		upstream: newUpstream(s.Upstream, s.Answer),
+		marks:    retry.NewMarks(),
+		runs:     runs{cancels: map[string]context.CancelFunc{}},
+	}
+	a.platform.OnCall = func(op string, failed bool) {
+		m.Scope.Tagged(map[string]string{"call": op}).Counter("platform_calls").Inc(1)
+		if failed {
+			m.Scope.Tagged(map[string]string{"call": op}).Counter("platform_failures").Inc(1)
+		}
+	}
+	a.claims = newClaims(a.platform, s.Prefix)
+	a.gate = newGate(sched.Policy{Slots: s.Upstream.Slots, Queue: s.Upstream.Queue})
+	a.servers.scrape = m.Scrape
+	return a
+}
+
+// Start listens and starts the loops.
+func (a *Agent) Start() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	a.cancel = cancel
+	a.group, ctx = errgroup.WithContext(ctx)
+	if err := a.listen(); err != nil {
+		cancel()
+		return err
+	}
+	a.healthy.Store(a.upstream.isHealthy())
+	a.group.Go(func() error { return every(ctx, tickInterval, func() { a.gate.expire(time.Now()) }) })
+	a.group.Go(func() error { return every(ctx, healthInterval, a.checkHealth) })
+	a.group.Go(func() error { return a.takeNumber(ctx) })
+	a.log.Infof("listening on %s for upstream %s", a.settings.Listen, a.settings.Upstream.Address)
+	return nil
+}
+
+// every calls f until the context ends.
+func every(ctx context.Context, interval time.Duration, f func()) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			f()
+		}
+	}
+}
+
+// Drain refuses new work and waits until no request runs, at most limit.
+func (a *Agent) Drain(limit time.Duration) {
+	a.stopping.Store(true)
+	a.gate.setDrain(true)
+	idle := make(chan struct{})
+	go func() {
+		a.gate.waitIdle()
+		close(idle)
+	}()
+	select {
+	case <-idle:
+		a.log.Infof("no request in progress")
+	case <-time.After(limit):
+		a.log.Warnf("requests still in progress after %v", limit)
+	}
+}
+
+// Close stops the servers and loops and waits for them.
+func (a *Agent) Close() {
+	a.servers.close()
+	a.cancel()
+	_ = a.group.Wait()
+	a.upstream.close()
+}
+
+// adopt puts a newer document in force.
+func (a *Agent) adopt(d *config.Document) {
+	if !a.config.Adopt(d) {
+		return
+	}
+	current := a.config.Get()
+	effective := current.Effective()
+	a.effective.Store(effective)
+	a.gate.setPolicy(policyOf(effective, a.settings.Upstream))
+	a.gate.setDrain(a.stopping.Load() || current.IsDrained(a.settings.Name))
+	a.scope.Gauge("generation").Update(float64(current.Generation))
+	a.log.Infof("generation %d, preset %s", current.Generation, current.Preset)
+}
+
+func policyOf(d *config.Document, u setup.Upstream) sched.Policy {
+	p := sched.Policy{
+		Slots:   u.Slots,
+		Queue:   u.Queue,
+		Classes: map[string]sched.Class{},
+		Shares:  map[string]float64{},
+	}
+	for _, c := range d.Classes {
+		p.Classes[c.Name] = sched.Class{Tier: c.Tier, Floor: c.Floor, Cap: c.Cap}
+	}
+	for _, x := range d.Partners {
+		p.Shares[x.Name] = x.Share
+	}
+	return p
+}
+
+// checkHealth looks at the upstream, and gives queued work back while it is
+// down.
+func (a *Agent) checkHealth() {
+	healthy := a.upstream.isHealthy()
+	if a.healthy.Swap(healthy) != healthy {
+		a.log.Warnf("upstream healthy is now %v", healthy)
+	}
+	if !healthy {
+		a.upstream.reset()
+		a.gate.empty(ReasonDown)
+	}
+}
+
+// state is what the agent says of itself.
+func (a *Agent) state(now time.Time) *wire.State {
+	c := a.gate.counts()
+	s := &wire.State{
+		Name:        a.settings.Name,
+		Incarnation: a.number.Load(),
+		Generation:  a.config.Generation(),
+		Centre:      a.settings.Centre,
+		Model:       a.settings.Upstream.Model,
+		Service:     a.settings.Upstream.Service,
+		Slots:       int32(c.slots),
+		Running:     int32(c.running),
+		Room:        int32(c.room),
+		Drain:       c.drain,
+		Healthy:     a.healthy.Load(),
+		Pace:        a.pace.Load(),
+		Marks:       wire.MarksTo(now, a.marks.List(now)),
+	}
+	for _, n := range c.queued {
+		s.Queued = append(s.Queued, int32(n))
+	}
+	if d := a.config.Get(); d != nil {
+		s.Preset = d.Preset
+	}
+	return s
+}
+
+// sync answers an entry's control message.
+func (a *Agent) sync(req *wire.SyncRequest) *wire.SyncReply {
+	now := time.Now()
+	a.marks.Merge(now, wire.MarksFrom(now, req.GetMarks()))
+	if len(req.GetDocument()) > 0 {
+		d, err := wire.DecodeDocument(req.GetDocument())
+		if err != nil {
+			a.log.Errorf("document from %s: %v", req.GetEntry(), err)
+		} else {
+			a.adopt(d)
+		}
+	}
+	reply := &wire.SyncReply{State: a.state(now)}
+	if current := a.config.Get(); current != nil && current.Generation > req.GetGeneration() {
+		data, err := wire.EncodeDocument(current)
+		if err == nil {
+			reply.Document = data
+		}
+	}
+	return reply
+}
+
+// cancelJob takes back a request. Only a request that was still queued is known
+// not to run: one that is unknown here may have ended, or be on its way.
+func (a *Agent) cancelJob(req *wire.CancelRequest) *wire.CancelReply {
+	unstarted := a.gate.cancel(req.GetId())
+	a.runs.cancel(req.GetId())
+	if unstarted {
+		return &wire.CancelReply{Run: wire.Run_NONE}
+	}
+	return &wire.CancelReply{Run: wire.Run_MAYBE}
+}
+
+// runs holds the cancel functions of the runs in progress.
+type runs struct {
+	mu      sync.Mutex
+	cancels map[string]context.CancelFunc
+}
+
+func (r *runs) add(id string, cancel context.CancelFunc) {
+	r.mu.Lock()
+	r.cancels[id] = cancel
+	r.mu.Unlock()
+}
+
+func (r *runs) remove(id string) {
+	r.mu.Lock()
+	delete(r.cancels, id)
+	r.mu.Unlock()
+}
+
+// cancel ends a run, if it is in progress.
+func (r *runs) cancel(id string) {
+	r.mu.Lock()
+	cancel, ok := r.cancels[id]
+	r.mu.Unlock()
+	if ok {
+		cancel()
+	}
+}
+
+// listen opens the agent's three ends.
+func (a *Agent) listen() error {
+	if err := a.servers.listenJobs(a); err != nil {
+		return &Error{Op: "listen", Kind: KindListen, Err: err}
+	}
+	if err := a.servers.listenAdmin(a); err != nil {
+		return &Error{Op: "listen", Kind: KindListen, Err: err}
+	}
+	server, err := peer.Listen(a.settings.Peer, a.settings.Token, peer.Handler{Sync: a.sync, Cancel: a.cancelJob})
+	if err != nil {
+		return &Error{Op: "listen", Kind: KindListen, Err: err}
+	}
+	a.servers.peer = server
+	return nil
+}
--- /dev/null
+++ b/agent/claims.go
@@ -0,0 +1,87 @@
+package agent
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"cactustide/claim"
+	"cactustide/store"
+	"cactustide/wire"
+)
+
+// newClaims keeps claims in the platform's service, one key for each.
+func newClaims(c *store.Client, prefix string) claim.Store {
+	return claim.Store{
+		Read: func(key string) (claim.Record, uint64, error) {
+			pair, err := c.Get(prefix + "/claims/" + key)
+			if err != nil || pair.Version == 0 {
+				return claim.Record{}, 0, err
+			}
+			r, err := wire.DecodeClaim(pair.Value)
+			return r, pair.Version, err
+		},
+		Swap: func(key string, r claim.Record, version uint64) (bool, error) {
+			data, err := wire.EncodeClaim(r)
+			if err != nil {
+				return false, err
+			}
+			return c.Swap(prefix+"/claims/"+key, data, version)
+		},
+	}
+}
+
+// claimKey hashes partner and key, so that no caller's text gets into a path.
+func claimKey(partner, key string) string {
+	sum := sha256.Sum256([]byte(partner + "\x00" + key))
+	return hex.EncodeToString(sum[:])
+}
+
+// newRun returns a run id that no other run has. The request's id alone would
+// not do: an entry may send the same request to two agents.
+func newRun(job, agent string) string {
+	return job + "/" + agent + "/" + strconv.FormatUint(rand.Uint64(), 36)
+}
+
+// takeNumber gets the agent's incarnation number: one greater than the last
+// process beside this upstream had. It is written once at the start and never
+// renewed. Until then calls that must run at most once are refused.
+func (a *Agent) takeNumber(ctx context.Context) error {
+	for {
+		number, err := nextNumber(a.platform, a.settings.Prefix+"/agents/"+a.settings.Name)
+		if err == nil {
+			a.number.Store(number)
+			a.log.Infof("incarnation %d", number)
+			return nil
+		}
+		a.log.Warnf("no incarnation yet: %v", err)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(claimInterval):
+		}
+	}
+}
+
+// nextNumber raises a counter by compare-and-swap. After a lost answer it
+// raises the counter again, so that the number is surely its own.
+func nextNumber(c *store.Client, key string) (uint64, error) {
+	for {
+		pair, err := c.Get(key)
+		if err != nil {
+			return 0, &Error{Op: "take number", Kind: KindPlatform, Err: err}
+		}
+		last, _ := strconv.ParseUint(string(pair.Value), 10, 64)
+		next := last + 1
+		ok, err := c.Swap(key, []byte(strconv.FormatUint(next, 10)), pair.Version)
+		if err != nil {
+			return 0, &Error{Op: "take number", Kind: KindPlatform, Err: err}
+		}
+		if ok {
+			return next, nil
+		}
+	}
+}
--- /dev/null
+++ b/agent/job.go
@@ -0,0 +1,312 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"cactustide/claim"
+	"cactustide/meter"
+	"cactustide/sched"
+	"cactustide/wire"
+)
+
+const (
+	// beatInterval is the time between signs of life to the entry. A write that
+	// fails is how the agent notices that the entry gave up.
+	beatInterval = 250 * time.Millisecond
+	// maxKept is the largest answer kept for resends, bytes.
+	maxKept = 256 << 10
+	// conflictPoll is the time between looks at a claim of another run.
+	conflictPoll = 100 * time.Millisecond
+)
+
+// sender writes frames to one entry, from the run and from its heartbeat.
+type sender struct {
+	mu    sync.Mutex
+	write func(f *wire.Frame, flush bool) error
+	err   error
+	ended bool
+}
+
+func (s *sender) send(f *wire.Frame, flush bool) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.err != nil || s.ended {
+		return s.err
+	}
+	s.ended = f.GetKind() == wire.Kind_END || f.GetKind() == wire.Kind_REFUSE
+	s.err = s.write(f, flush)
+	return s.err
+}
+
+// serve answers one job with frames. It returns when the job has ended and
+// nothing more will be written.
+func (a *Agent) serve(job *wire.Job, write func(f *wire.Frame, flush bool) error) {
+	begin := time.Now()
+	log := a.log.With("request", job.GetId())
+	out := &sender{write: write}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	stop := a.beat(out, cancel)
+	defer stop()
+
+	request, reason := a.admit(ctx, job, begin)
+	if reason != "" {
+		log.Debugf("refused: %s", reason)
+		a.refuse(out, reason, wire.Run_NONE)
+		return
+	}
+	a.scope.Timer("queue_time").Record(time.Since(begin))
+	a.runs.add(job.GetId(), cancel)
+	a.start(ctx, log, job, request, out)
+	a.runs.remove(job.GetId())
+}
+
+// beat sends a sign of life at each interval. Its result ends the beats and
+// waits for the last one.
+func (a *Agent) beat(out *sender, cancel context.CancelFunc) func() {
+	done := make(chan struct{})
+	var timer *time.Timer
+	var mu sync.Mutex
+	var beat func()
+	beat = func() {
+		if err := out.send(&wire.Frame{Kind: wire.Kind_WAIT}, true); err != nil {
+			cancel()
+			return
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		select {
+		case <-done:
+		default:
+			timer = time.AfterFunc(beatInterval, beat)
+		}
+	}
+	timer = time.AfterFunc(beatInterval, beat)
+	return func() {
+		out.mu.Lock()
+		out.ended = true
+		out.mu.Unlock()
+		mu.Lock()
+		defer mu.Unlock()
+		close(done)
+		timer.Stop()
+	}
+}
+
+// admit waits in the queue. It returns the reason if the job was not started.
+func (a *Agent) admit(ctx context.Context, job *wire.Job, now time.Time) (*sched.Request, string) {
+	document := a.effective.Load()
+	switch {
+	case document == nil:
+		return nil, ReasonBehind
+	case !a.healthy.Load():
+		return nil, ReasonDown
+	case job.GetOnce() && a.number.Load() == 0:
+		return nil, ReasonPlatform
+	}
+	class, _ := document.FindClass(job.GetClass())
+	request := &sched.Request{
+		ID:       job.GetId(),
+		Class:    job.GetClass(),
+		Partner:  job.GetPartner(),
+		Tokens:   float64(class.Tokens),
+		Deadline: now.Add(time.Duration(job.GetLeft()) * time.Millisecond),
+		Suspect:  job.GetSuspect(),
+	}
+	ticket := a.gate.enter(request)
+	for {
+		select {
+		case d := <-ticket:
+			return request, d.reason
+		case <-ctx.Done():
+			a.gate.cancel(job.GetId())
+			ctx = context.Background() // The ticket says whether it started.
+		}
+	}
+}
+
+// start claims the job if need be, runs it and frees its slot.
+func (a *Agent) start(ctx context.Context, log *meter.Log, job *wire.Job, request *sched.Request, out *sender) {
+	var tokens int64
+	defer func() { a.gate.finish(job.GetId(), tokens) }()
+	if ctx.Err() != nil {
+		a.refuse(out, ReasonCancelled, wire.Run_NONE)
+		return
+	}
+	if !job.GetOnce() {
+		r := a.send(ctx, log, job, request, out)
+		tokens = r.tokens
+		return
+	}
+	verdict, record, err := a.take(ctx, job)
+	switch verdict {
+	case claim.Start:
+		a.runClaimed(ctx, log, job, request, record, out)
+	case claim.Replay:
+		a.replay(out, record)
+	case claim.Mismatch:
+		a.refuse(out, ReasonMismatch, wire.Run_NONE)
+	case claim.Running:
+		a.refuse(out, ReasonConflict, wire.Run_MAYBE)
+	case claim.Refuse:
+		log.Warnf("claim refused: %v", err)
+		a.refuse(out, ReasonPlatform, wire.Run_NONE)
+	}
+}
+
+// take claims the job's key. While another run holds it, take waits for that
+// run's answer as long as the job has time left.
+func (a *Agent) take(ctx context.Context, job *wire.Job) (claim.Verdict, claim.Record, error) {
+	run := newRun(job.GetId(), a.settings.Name)
+	limit := time.Now().Add(time.Duration(job.GetLeft()) * time.Millisecond)
+	for {
+		verdict, record, err := claim.Take(a.claims, claimKey(job.GetPartner(), job.GetKey()), run, a.settings.Name, job.GetPrint())
+		if verdict != claim.Running || time.Now().After(limit) {
+			return verdict, record, err
+		}
+		select {
+		case <-ctx.Done():
+			return verdict, record, err
+		case <-time.After(conflictPoll):
+		}
+	}
+}
+
+// runClaimed runs a job whose key is held by this run, and keeps the answer.
+func (a *Agent) runClaimed(ctx context.Context, log *meter.Log, job *wire.Job, request *sched.Request, record claim.Record, out *sender) {
+	key := claimKey(job.GetPartner(), job.GetKey())
+	if ctx.Err() != nil {
+		a.release(log, key, record)
+		a.refuse(out, ReasonCancelled, wire.Run_NONE)
+		return
+	}
+	// The answer is kept before it is passed on: a caller that has it can rely
+	// on a resend getting the same one. A caller that goes away does not cut the
+	// run: the resend needs its answer.
+	r := a.upstream.run(context.WithoutCancel(ctx), job, request.Tier(), receiver{
+		head: func(int, string) {},
+		data: func([]byte, int64) error { return nil },
+	})
+	if r.unsent {
+		a.release(log, key, record)
+		a.lose(out, job, r)
+		return
+	}
+	if !r.whole {
+		a.lose(out, job, r)
+		return
+	}
+	record.Status = r.status
+	record.Type = r.kind
+	record.Body = r.body
+	if len(r.body) > maxKept {
+		record.Body = nil
+		record.Cut = true
+	}
+	if err := claim.Finish(a.claims, key, record); err != nil {
+		log.Warnf("answer not kept: %v", err)
+	}
+	record.Body = r.body
+	record.Cut = false
+	a.answer(out, record, false)
+}
+
+func (a *Agent) release(log *meter.Log, key string, record claim.Record) {
+	if ok, err := claim.Release(a.claims, key, record); !ok {
+		log.Warnf("claim not released: %v", err)
+	}
+}
+
+// replay answers from a kept record.
+func (a *Agent) replay(out *sender, record claim.Record) {
+	if record.Cut {
+		a.refuse(out, ReasonConflict, wire.Run_DONE)
+		return
+	}
+	a.answer(out, record, true)
+}
+
+func (a *Agent) answer(out *sender, record claim.Record, kept bool) {
+	_ = out.send(&wire.Frame{Kind: wire.Kind_HEAD, Status: int32(record.Status), Type: record.Type, Kept: kept}, false)
+	_ = out.send(&wire.Frame{Kind: wire.Kind_DATA, Data: record.Body}, false)
+	a.end(out, &wire.Frame{Kind: wire.Kind_END, Run: wire.Run_DONE, Kept: kept})
+}
+
+// send runs a job that may be repeated.
+func (a *Agent) send(ctx context.Context, log *meter.Log, job *wire.Job, request *sched.Request, out *sender) result {
+	begin := time.Now()
+	var first time.Time
+	r := a.upstream.run(ctx, job, request.Tier(), receiver{
+		head: func(status int, kind string) {
+			_ = out.send(&wire.Frame{Kind: wire.Kind_HEAD, Status: int32(status), Type: kind}, false)
+		},
+		data: func(p []byte, tokens int64) error {
+			if first.IsZero() {
+				first = time.Now()
+			}
+			if err := ctx.Err(); err != nil {
+				return err
+			}
+			a.gate.charge(job.GetId(), tokens)
+			// A whole answer is flushed with its END frame.
+			return out.send(&wire.Frame{Kind: wire.Kind_DATA, Data: p}, job.GetStream())
+		},
+	})
+	if !r.whole {
+		a.lose(out, job, r)
+		log.Infof("broken after %d tokens: %v", r.tokens, r.err)
+		return r
+	}
+	if first.IsZero() || !job.GetStream() {
+		first = begin
+	}
+	a.recordPace(time.Since(first), r.tokens)
+	a.end(out, &wire.Frame{Kind: wire.Kind_END, Run: wire.Run_DONE, Tokens: r.tokens})
+	return r
+}
+
+// lose ends a job whose answer broke off. If the upstream is gone, the job is
+// marked as running at its crash.
+func (a *Agent) lose(out *sender, job *wire.Job, r result) {
+	if r.unsent {
+		a.healthy.Store(false)
+		a.refuse(out, ReasonDown, wire.Run_NONE)
+		return
+	}
+	reason := ReasonBroken
+	if out.err == nil && !a.upstream.isAlive() {
+		reason = ReasonCrashed
+		a.healthy.Store(false)
+		a.marks.Add(time.Now(), job.GetPrint(), a.settings.Name)
+		a.scope.Counter("upstream_crashes").Inc(1)
+	}
+	a.scope.Counter("wasted_tokens").Inc(r.tokens)
+	a.end(out, &wire.Frame{Kind: wire.Kind_END, Run: wire.Run_MAYBE, Reason: reason, Tokens: r.tokens})
+}
+
+func (a *Agent) refuse(out *sender, reason string, run wire.Run) {
+	a.scope.Tagged(map[string]string{"reason": reason}).Counter("refusals").Inc(1)
+	a.end(out, &wire.Frame{Kind: wire.Kind_REFUSE, Reason: reason, Run: run})
+}
+
+// end sends the last frame, with the agent's state on it.
+func (a *Agent) end(out *sender, f *wire.Frame) {
+	f.State = a.state(time.Now())
+	_ = out.send(f, true)
+}
+
+// recordPace smooths the time for each token.
+func (a *Agent) recordPace(took time.Duration, tokens int64) {
+	if tokens < 2 {
+		return
+	}
+	sample := took.Microseconds() / tokens
+	old := a.pace.Load()
+	if old == 0 {
+		a.pace.Store(sample)
+		return
+	}
+	a.pace.Store(old + int64(paceWeight*float64(sample-old)))
+}
--- /dev/null
+++ b/agent/server.go
@@ -0,0 +1,127 @@
+package agent
+
+import (
+	"bufio"
+	"crypto/subtle"
+	"net"
+	"sync"
+
+	"github.com/valyala/fasthttp"
+	"google.golang.org/protobuf/proto"
+
+	"cactustide/peer"
+	"cactustide/wire"
+)
+
+const (
+	pathJob     = "/job"
+	pathHealthy = "/health"
+	pathReady   = "/ready"
+	pathMetrics = "/metrics"
+	bearer      = "Bearer "
+	// jobOverhead is the room for a job's fields beside its body, bytes.
+	jobOverhead = 64 << 10
+	serverName  = "cactustide"
+)
+
+// servers are the agent's ends towards entries and operators.
+type servers struct {
+	jobs   *fasthttp.Server
+	admin  *fasthttp.Server
+	peer   *peer.Server
+	scrape fasthttp.RequestHandler
+	wait   sync.WaitGroup
+}
+
+func (s *servers) serve(server *fasthttp.Server, address string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	s.wait.Add(1)
+	go func() {
+		defer s.wait.Done()
+		_ = server.Serve(listener)
+	}()
+	return nil
+}
+
+func (s *servers) listenJobs(a *Agent) error {
+	s.jobs = &fasthttp.Server{
+		Name:               serverName,
+		Handler:            a.handleJob,
+		MaxRequestBodySize: int(a.settings.Body) + jobOverhead,
+		CloseOnShutdown:    true,
+	}
+	return s.serve(s.jobs, a.settings.Listen)
+}
+
+func (s *servers) listenAdmin(a *Agent) error {
+	s.admin = &fasthttp.Server{Name: serverName, Handler: a.handleAdmin, CloseOnShutdown: true}
+	return s.serve(s.admin, a.settings.Admin)
+}
+
+func (s *servers) close() {
+	for _, server := range []*fasthttp.Server{s.jobs, s.admin} {
+		if server != nil {
+			_ = server.Shutdown()
+		}
+	}
+	if s.peer != nil {
+		s.peer.Close()
+	}
+	s.wait.Wait()
+}
+
+// handleJob binds a job from an entry and streams its frames.
+func (a *Agent) handleJob(ctx *fasthttp.RequestCtx) {
+	if string(ctx.Path()) != pathJob || !ctx.IsPost() {
+		ctx.Error("not found", fasthttp.StatusNotFound)
+		return
+	}
+	if !isAuthorized(ctx, a.settings.Token) {
+		ctx.Error("wrong token", fasthttp.StatusUnauthorized)
+		return
+	}
+	job := &wire.Job{}
+	// Unmarshal copies: the library reuses the request's buffers.
+	if err := proto.Unmarshal(ctx.PostBody(), job); err != nil {
+		ctx.Error("bad job", fasthttp.StatusBadRequest)
+		return
+	}
+	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+		a.serve(job, func(f *wire.Frame, flush bool) error {
+			if err := wire.WriteFrame(w, f); err != nil || !flush {
+				return err
+			}
+			return w.Flush()
+		})
+	})
+}
+
+func isAuthorized(ctx *fasthttp.RequestCtx, token string) bool {
+	got := ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)
+	return subtle.ConstantTimeCompare(got, []byte(bearer+token)) == 1
+}
+
+// handleAdmin answers health, readiness, metrics and the operators' status.
+func (a *Agent) handleAdmin(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case pathHealthy:
+		ctx.SetBodyString("ok\n")
+	case pathReady:
+		a.handleReady(ctx)
+	case pathMetrics:
+		a.servers.scrape(ctx)
+	default:
+		ctx.Error("not found", fasthttp.StatusNotFound)
+	}
+}
+
+func (a *Agent) handleReady(ctx *fasthttp.RequestCtx) {
+	if a.stopping.Load() || a.effective.Load() == nil || !a.healthy.Load() {
+		ctx.Error("not ready", fasthttp.StatusServiceUnavailable)
+		return
+	}
+	ctx.SetBodyString("ready\n")
+}
--- /dev/null
+++ b/burn/burn.go
@@ -0,0 +1,127 @@
+// Package burn reports how fast each class uses up the error budget of its
+// objective. The burn rate is the fraction of requests that missed their
+// target, divided by the fraction that may miss it (Beyer et al., "The Site
+// Reliability Workbook", chapter 5).
+package burn
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// bucketLength is the resolution of the windows.
+	bucketLength = 10 * time.Second
+	// Short is the window that shows a sudden burn.
+	Short = 5 * time.Minute
+	// Long is the window that shows a lasting burn, and the budget's period.
+	Long = time.Hour
+
+	buckets = int(Long / bucketLength)
+)
+
+// Window is what happened to a class within a window.
+type Window struct {
+	Total int64
+	Good  int64
+}
+
+// Rate returns the burn rate for an objective such as 0.95; 0 without traffic.
+func (w Window) Rate(objective float64) float64 {
+	if w.Total == 0 || objective >= 1 {
+		return 0
+	}
+	missed := float64(w.Total-w.Good) / float64(w.Total)
+	return missed / (1 - objective)
+}
+
+// Left returns the fraction of the error budget that is left; negative when it
+// is overspent.
+func (w Window) Left(objective float64) float64 {
+	return 1 - w.Rate(objective)
+}
+
+// Report is one class's windows.
+type Report struct {
+	Class string
+	Short Window
+	Long  Window
+}
+
+type bucket struct {
+	number int64
+	window Window
+}
+
+// Meter counts by class and time.
+type Meter struct {
+	mu      sync.Mutex
+	classes map[string]*[buckets]bucket
+}
+
+// New returns an empty meter.
+func New() *Meter {
+	return &Meter{classes: map[string]*[buckets]bucket{}}
+}
+
+// Add records one request that ended at now.
+func (m *Meter) Add(now time.Time, class string, good bool) {
+	number := now.UnixNano() / int64(bucketLength)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	ring, ok := m.classes[class]
+	if !ok {
+		ring = &[buckets]bucket{}
+		m.classes[class] = ring
+	}
+	b := &ring[number%int64(buckets)]
+	if b.number != number {
+		*b = bucket{number: number}
+	}
+	b.window.Total++
+	if good {
+		b.window.Good++
+	}
+}
+
+// Reports returns the windows of each class that ended requests.
+func (m *Meter) Reports(now time.Time) map[string]Report {
+	number := now.UnixNano() / int64(bucketLength)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := map[string]Report{}
+	for class, ring := range m.classes {
+		r := Report{Class: class}
+		for i := range ring {
+			age := number - ring[i].number
+			if age < int64(Long/bucketLength) {
+				r.Long.add(ring[i].window)
+			}
+			if age < int64(Short/bucketLength) {
+				r.Short.add(ring[i].window)
+			}
+		}
+		out[class] = r
+	}
+	return out
+}
+
+func (w *Window) add(other Window) {
+	w.Total += other.Total
+	w.Good += other.Good
+}
+
+// Sum adds up the reports of several entries.
+func Sum(reports ...map[string]Report) map[string]Report {
+	out := map[string]Report{}
+	for _, r := range reports {
+		for class, x := range r {
+			total := out[class]
+			total.Class = class
+			total.Short.add(x.Short)
+			total.Long.add(x.Long)
+			out[class] = total
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/claim/claim.go
@@ -0,0 +1,165 @@
+// Package claim decides whether a call that must run at most once may start.
+//
+// A claim is one record of the platform's service for each idempotency key of
+// a partner, created by compare-and-swap immediately before the start. It is
+// never taken from its holder and never expires into a second run. A run whose
+// claim could not be confirmed is given up for good. The protocol is specified
+// in spec/claim.pml; the names of its steps are the names of the functions here.
+package claim
+
+// Phase is the state of a claim's run.
+type Phase string
+
+// Phases of a claim.
+const (
+	// Claimed means that the run may have started.
+	Claimed Phase = "claimed"
+	// Done means that the run ended and its answer is kept.
+	Done Phase = "done"
+	// Void means that the run was given up before its start.
+	Void Phase = "void"
+)
+
+// Record is the content of a claim.
+type Record struct {
+	// Run is the id of the run that holds the key.
+	Run   string
+	Phase Phase
+	// Print is the fingerprint of the request's content.
+	Print uint64
+	Agent string
+	// The kept answer, when the phase is Done.
+	Status int
+	Type   string
+	Body   []byte
+	// Cut means that the answer was too large to keep.
+	Cut bool
+}
+
+// Store is the platform's service as claims need it.
+type Store struct {
+	// Read returns the record of a key and its version; version 0 means absent.
+	Read func(key string) (Record, uint64, error)
+	// Swap writes the record if the version still holds; version 0 creates it.
+	// An error means that the outcome is unknown.
+	Swap func(key string, r Record, version uint64) (ok bool, err error)
+}
+
+// Verdict says what the caller of Take may do.
+type Verdict int
+
+// Verdicts of Take.
+const (
+	// Start means that this run holds the key and may be sent once.
+	Start Verdict = iota
+	// Replay means that an earlier run is done; its record is returned.
+	Replay
+	// Running means that an earlier run holds the key and has not ended, or
+	// ended without a word. It may have run.
+	Running
+	// Mismatch means that the key was used with another content.
+	Mismatch
+	// Refuse means that the claim could not be confirmed. This run never
+	// starts.
+	Refuse
+)
+
+// readBacks is how often the outcome of a write is looked up.
+const readBacks = 3
+
+// Take claims a key for a run. It returns Start only if the record in the
+// platform's service names this run.
+func Take(s Store, key, run, agent string, print uint64) (Verdict, Record, error) {
+	mine := Record{Run: run, Phase: Claimed, Print: print, Agent: agent}
+	seen, version, err := s.Read(key)
+	if err != nil {
+		return Refuse, Record{}, err
+	}
+	if version != 0 && seen.Phase != Void {
+		return judge(seen, print), seen, nil
+	}
+	ok, err := s.Swap(key, mine, version)
+	if err == nil && ok {
+		return Start, mine, nil
+	}
+	return confirm(s, key, mine, err)
+}
+
+// judge returns the verdict on a record that another run holds.
+func judge(seen Record, print uint64) Verdict {
+	switch {
+	case seen.Print != print:
+		return Mismatch
+	case seen.Phase == Done:
+		return Replay
+	default:
+		return Running
+	}
+}
+
+// confirm reads back a claim that was refused or whose answer was lost.
+func confirm(s Store, key string, mine Record, cause error) (Verdict, Record, error) {
+	for range readBacks {
+		seen, version, err := s.Read(key)
+		if err != nil {
+			cause = err
+			continue
+		}
+		if version != 0 && seen.Run == mine.Run {
+			return Start, mine, nil
+		}
+		if version != 0 && seen.Phase != Void {
+			return judge(seen, mine.Print), seen, nil
+		}
+		break
+	}
+	return giveUp(s, key, mine, cause)
+}
+
+// giveUp refuses the run and tries to void its claim, so that a resend may
+// claim the key again. A claim that could not be voided holds its key for good:
+// resends are told that it may have run, which is safe.
+func giveUp(s Store, key string, mine Record, cause error) (Verdict, Record, error) {
+	_, _ = Release(s, key, mine)
+	return Refuse, Record{}, cause
+}
+
+// Release voids the claim of a run that certainly did not start and never
+// will. It reports whether the void record is in place.
+func Release(s Store, key string, mine Record) (bool, error) {
+	void := mine
+	void.Phase = Void
+	seen, version, err := s.Read(key)
+	if err != nil {
+		return false, err
+	}
+	if version != 0 && seen.Run != mine.Run && seen.Phase != Void {
+		return true, nil // Another run holds the key; a late write of ours fails.
+	}
+	// Written even where there is no record of ours: a late claim of ours then
+	// finds another version and fails.
+	return s.Swap(key, void, version)
+}
+
+// Finish keeps the answer of a run, so that resends get the same one. Without
+// it resends are told that the call may have run.
+func Finish(s Store, key string, done Record) error {
+	done.Phase = Done
+	var cause error
+	for range readBacks {
+		seen, version, err := s.Read(key)
+		if err != nil {
+			cause = err
+			continue
+		}
+		if version == 0 || seen.Run != done.Run || seen.Phase != Claimed {
+			return nil
+		}
+		ok, err := s.Swap(key, done, version)
+		if err == nil && ok {
+			return nil
+		}
+		cause = err
+	}
+	return cause
+}
--- /dev/null
+++ b/cmds/change.go
@@ -0,0 +1,179 @@
+package cmds
+
+import (
+	"fmt"
+	"slices"
+	"text/tabwriter"
+
+	"github.com/integrii/flaggy"
+
+	"cactustide/config"
+	"cactustide/wire"
+)
+
+// newChangeCommands returns the commands that show and change the document.
+func newChangeCommands(c *ctl) []command {
+	return []command{
+		newApply(c), newShow(c), newDiff(c), newPresets(c), newPreset(c),
+		newShare(c), newClass(c), newDrain(c, "drain", true), newDrain(c, "undrain", false),
+	}
+}
+
+func positional(s *flaggy.Subcommand, value *string, at int, name, description string) {
+	s.AddPositionalValue(value, name, at, true, description)
+}
+
+func newApply(c *ctl) command {
+	parser := newSubcommand("apply", "puts a configuration document in force")
+	var file string
+	positional(parser, &file, 1, "file", "the document")
+	return command{parser: parser, run: c.with(func(x *session) int {
+		d, code := loadDocument(x.streams, file)
+		if code != ExitOK {
+			return code
+		}
+		return x.change(func(current *config.Document) {
+			generation := current.Generation
+			*current = *d
+			current.Generation = generation
+		})
+	})}
+}
+
+func newShow(c *ctl) command {
+	parser := newSubcommand("show", "prints the document in force as YAML")
+	return command{parser: parser, run: c.with(func(x *session) int {
+		d, code := x.current()
+		if code != ExitOK {
+			return code
+		}
+		if x.ctl.asJSON {
+			return x.print(d, "", func(*tabwriter.Writer) {})
+		}
+		text, err := wire.FormatDocument(d)
+		if err != nil {
+			return x.fail(err, ExitFailed)
+		}
+		fmt.Fprint(x.out, string(text))
+		return ExitOK
+	})}
+}
+
+func newDiff(c *ctl) command {
+	parser := newSubcommand("diff", "prints what apply would change")
+	var file string
+	positional(parser, &file, 1, "file", "the document")
+	return command{parser: parser, run: c.with(func(x *session) int {
+		d, code := loadDocument(x.streams, file)
+		if code != ExitOK {
+			return code
+		}
+		current, code := x.current()
+		if code != ExitOK {
+			return code
+		}
+		d.Generation, d.Change, d.Author = current.Generation, current.Change, current.Author
+		return x.printDiff(current, d)
+	})}
+}
+
+// printDiff prints the lines that one document has and the other lacks.
+func (x *session) printDiff(from, to *config.Document) int {
+	before, err := wire.FormatDocument(from)
+	if err != nil {
+		return x.fail(err, ExitFailed)
+	}
+	after, err := wire.FormatDocument(to)
+	if err != nil {
+		return x.fail(err, ExitFailed)
+	}
+	for _, line := range diffLines(splitLines(before), splitLines(after)) {
+		fmt.Fprintln(x.out, line)
+	}
+	return ExitOK
+}
+
+func newPresets(c *ctl) command {
+	parser := newSubcommand("presets", "lists the presets")
+	return command{parser: parser, run: c.with(func(x *session) int {
+		d, code := x.current()
+		if code != ExitOK {
+			return code
+		}
+		return x.print(d.Presets, "PRESET\tIN FORCE\tSHARES\tTUNES", func(w *tabwriter.Writer) {
+			for _, p := range d.Presets {
+				fmt.Fprintf(w, "%s\t%v\t%d\t%d\n", p.Name, p.Name == d.Preset, len(p.Shares), len(p.Tunes))
+			}
+		})
+	})}
+}
+
+func newPreset(c *ctl) command {
+	parser := newSubcommand("preset", "switches to a preset")
+	var name string
+	positional(parser, &name, 1, "name", "the preset")
+	return command{parser: parser, run: c.with(func(x *session) int {
+		return x.change(func(d *config.Document) { d.Preset = name })
+	})}
+}
+
+func newShare(c *ctl) command {
+	parser := newSubcommand("share", "sets a partner's share, in the preset in force if it overrides it")
+	var name string
+	var value string
+	positional(parser, &name, 1, "partner", "the partner")
+	positional(parser, &value, 2, "share", "the share, above zero")
+	return command{parser: parser, run: c.with(func(x *session) int {
+		share, err := parseNumber(value)
+		if err != nil {
+			fmt.Fprintf(x.err, "share: %q is not a number\n", value)
+			return ExitUsage
+		}
+		found := false
+		code := x.change(func(d *config.Document) { found = setShare(d, name, share) })
+		if code == ExitOK && !found {
+			fmt.Fprintf(x.err, "partner: %q is not a partner; nothing but the generation changed\n", name)
+			return ExitUsage
+		}
+		return code
+	})}
+}
+
+// setShare sets a share where the preset in force takes it from.
+func setShare(d *config.Document, partner string, share float64) bool {
+	for i := range d.Presets {
+		if d.Presets[i].Name != d.Preset {
+			continue
+		}
+		d.Presets = slices.Clone(d.Presets)
+		d.Presets[i].Shares = slices.Clone(d.Presets[i].Shares)
+		for j := range d.Presets[i].Shares {
+			if d.Presets[i].Shares[j].Partner == partner {
+				d.Presets[i].Shares[j].Share = share
+				return true
+			}
+		}
+	}
+	d.Partners = slices.Clone(d.Partners)
+	for i := range d.Partners {
+		if d.Partners[i].Name == partner {
+			d.Partners[i].Share = share
+			return true
+		}
+	}
+	return false
+}
+
+func newDrain(c *ctl, verb string, drain bool) command {
+	parser := newSubcommand(verb, verb+"s an upstream")
+	var name string
+	positional(parser, &name, 1, "upstream", "the upstream's name")
+	return command{parser: parser, run: c.with(func(x *session) int {
+		return x.change(func(d *config.Document) {
+			d.Drains = slices.DeleteFunc(slices.Clone(d.Drains), func(s string) bool { return s == name })
+			if drain {
+				d.Drains = append(d.Drains, name)
+			}
+		})
+	})}
+}
--- /dev/null
+++ b/cmds/check.go
@@ -0,0 +1,48 @@
+package cmds
+
+import (
+	"fmt"
+
+	"cactustide/config"
+	"cactustide/setup"
+)
+
+// newCheck returns the subcommand that checks files without running anything.
+func newCheck() command {
+	parser := newSubcommand("check", "checks a settings file (--role) or a configuration document")
+	var file, role string
+	parser.AddPositionalValue(&file, "file", 1, true, "the file to check")
+	parser.String(&role, "r", "role", "role whose settings the file holds: entry, agent or ctl; without it the file is a configuration document")
+	return command{parser: parser, run: func(s streams) int {
+		if role != "" {
+			return checkSettings(s, file, role)
+		}
+		return checkDocument(s, file)
+	}}
+}
+
+func checkSettings(s streams, file, role string) int {
+	switch role {
+	case setup.RoleEntry, setup.RoleAgent, setup.RoleCtl:
+	default:
+		fmt.Fprintf(s.err, "role: %q is not allowed; entry, agent or ctl\n", role)
+		return ExitUsage
+	}
+	if _, code := loadSettings(s, file, role); code != ExitOK {
+		return code
+	}
+	fmt.Fprintf(s.out, "%s: no faults\n", file)
+	return ExitOK
+}
+
+func checkDocument(s streams, file string) int {
+	d, code := loadDocument(s, file)
+	if code != ExitOK {
+		return code
+	}
+	if faults := config.Check(d); len(faults) > 0 {
+		return s.printList(file, faults)
+	}
+	fmt.Fprintf(s.out, "%s: no faults\n", file)
+	return ExitOK
+}
--- /dev/null
+++ b/cmds/ctl.go
@@ -0,0 +1,166 @@
+package cmds
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"text/tabwriter"
+	"time"
+
+	"github.com/integrii/flaggy"
+	"github.com/valyala/fasthttp"
+	"github.com/zeebo/errs"
+
+	"cactustide/config"
+	"cactustide/entry"
+	"cactustide/setup"
+	"cactustide/store"
+	"cactustide/wire"
+)
+
+const adminTimeout = 3 * time.Second
+
+// ctl holds what all operator commands share.
+type ctl struct {
+	file   string
+	author string
+	asJSON bool
+}
+
+// session is one operator command at work.
+type session struct {
+	streams
+	ctl      *ctl
+	settings *setup.Settings
+	platform *store.Client
+}
+
+// newCtl returns the operators' subcommand with its own subcommands.
+func newCtl() (*flaggy.Subcommand, []command) {
+	parser := newSubcommand("ctl", "the operators' client")
+	c := &ctl{file: "ctl.yaml", author: os.Getenv("USER")}
+	parser.String(&c.file, "s", "settings", "settings file")
+	parser.String(&c.author, "a", "author", "your name, kept with each change")
+	parser.Bool(&c.asJSON, "j", "json", "print JSON instead of a table")
+	commands := append(newChangeCommands(c), newReportCommands(c)...)
+	for _, x := range commands {
+		parser.AttachSubcommand(x.parser, 1)
+	}
+	return parser, commands
+}
+
+// with loads the settings and runs a command.
+func (c *ctl) with(run func(*session) int) func(streams) int {
+	return func(s streams) int {
+		settings, code := loadSettings(s, c.file, setup.RoleCtl)
+		if code != ExitOK {
+			return code
+		}
+		return run(&session{streams: s, ctl: c, settings: settings, platform: store.New(settings.Platform)})
+	}
+}
+
+// register is the document's place in the platform's service.
+func (x *session) register() config.Register {
+	key := x.settings.Prefix + entry.DocumentKey
+	return config.Register{
+		Read: func() (*config.Document, uint64, error) {
+			pair, err := x.platform.Get(key)
+			if err != nil || pair.Version == 0 {
+				return nil, 0, err
+			}
+			d, err := wire.DecodeDocument(pair.Value)
+			return d, pair.Version, err
+		},
+		Swap: func(d *config.Document, version uint64) (bool, error) {
+			data, err := wire.EncodeDocument(d)
+			if err != nil {
+				return false, err
+			}
+			return x.platform.Swap(key, data, version)
+		},
+	}
+}
+
+// change applies an edit and says how it went.
+func (x *session) change(edit func(*config.Document)) int {
+	id := strconv.FormatUint(rand.Uint64(), 36)
+	d, err := config.Change(x.register(), id, x.ctl.author, edit)
+	if err == nil {
+		fmt.Fprintf(x.out, "generation %d accepted, preset %s\n", d.Generation, d.Preset)
+		return ExitOK
+	}
+	failed, ok := asError[*config.Error](err)
+	if !ok {
+		return x.fail(err, ExitFailed)
+	}
+	switch failed.Kind {
+	case config.KindInvalid:
+		return x.printList("document", failed.Faults)
+	case config.KindLost:
+		x.printWinner(failed.Winner)
+		return ExitLost
+	case config.KindUnknown:
+		fmt.Fprintf(x.err, "unknown: the platform did not say whether the change took effect (%v)\n", failed.Err)
+		fmt.Fprintf(x.err, "look for change %s with: cactustide ctl show\n", id)
+		return ExitUnknown
+	default:
+		fmt.Fprintf(x.err, "the platform could not be reached; nothing was changed (%v)\n", failed.Err)
+		return ExitPlatform
+	}
+}
+
+func (x *session) printWinner(w *config.Document) {
+	fmt.Fprintf(x.err, "lost: %s's change %s went first; yours was not applied\n", w.Author, w.Change)
+	fmt.Fprintf(x.err, "in force: generation %d, preset %s\n", w.Generation, w.Preset)
+}
+
+// current reads the document in force.
+func (x *session) current() (*config.Document, int) {
+	d, version, err := x.register().Read()
+	if err != nil {
+		return nil, x.fail(err, ExitPlatform)
+	}
+	if version == 0 {
+		return nil, x.fail(&Error{Op: "read document", Kind: KindMissing, Err: errs.New("no configuration yet; use ctl apply")}, ExitFailed)
+	}
+	return d, ExitOK
+}
+
+// ask reads JSON from a process's admin end.
+func (x *session) ask(address, path string, into any) error {
+	req := fasthttp.AcquireRequest()
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + address + path)
+	req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+x.settings.Operator)
+	if err := fasthttp.DoTimeout(req, resp, adminTimeout); err != nil {
+		return &Error{Op: "ask " + address, Kind: KindCall, Err: err}
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return &Error{Op: "ask " + address, Kind: KindCall, Err: errs.New("status %d: %s", resp.StatusCode(), resp.Body())}
+	}
+	return json.Unmarshal(resp.Body(), into)
+}
+
+// print prints JSON or a table.
+func (x *session) print(value any, header string, rows func(w *tabwriter.Writer)) int {
+	if x.ctl.asJSON {
+		data, err := json.MarshalIndent(value, "", "  ")
+		if err != nil {
+			return x.fail(err, ExitFailed)
+		}
+		fmt.Fprintln(x.out, string(data))
+		return ExitOK
+	}
+	w := tabwriter.NewWriter(x.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, header)
+	rows(w)
+	if err := w.Flush(); err != nil {
+		return x.fail(err, ExitFailed)
+	}
+	return ExitOK
+}
--- /dev/null
+++ b/cmds/daemon.go
@@ -0,0 +1,88 @@
+package cmds
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+
+	"cactustide/agent"
+	"cactustide/entry"
+	"cactustide/meter"
+	"cactustide/setup"
+)
+
+// daemon is what both daemons can do.
+type daemon struct {
+	start func() error
+	drain func()
+	close func()
+}
+
+// newEntry returns the subcommand of the entry daemon.
+func newEntry() command {
+	parser := newSubcommand("entry", "runs an entry: the process that callers talk to")
+	file := "entry.yaml"
+	parser.String(&file, "s", "settings", "settings file")
+	return command{parser: parser, run: func(s streams) int {
+		return runDaemon(s, file, setup.RoleEntry, func(settings *setup.Settings, log *meter.Log, m *meter.Meter) daemon {
+			e := entry.New(settings, log, m)
+			return daemon{start: e.Start, drain: func() { e.Drain(settings.Stop) }, close: e.Close}
+		})
+	}}
+}
+
+// newAgent returns the subcommand of the agent daemon.
+func newAgent() command {
+	parser := newSubcommand("agent", "runs an agent: the process beside one upstream")
+	file := "agent.yaml"
+	parser.String(&file, "s", "settings", "settings file")
+	return command{parser: parser, run: func(s streams) int {
+		return runDaemon(s, file, setup.RoleAgent, func(settings *setup.Settings, log *meter.Log, m *meter.Meter) daemon {
+			a := agent.New(settings, log, m)
+			return daemon{start: a.Start, drain: func() { a.Drain(settings.Stop) }, close: a.Close}
+		})
+	}}
+}
+
+// runDaemon runs until SIGTERM or SIGINT, then stops without cutting off
+// requests in progress. A second signal ends the wait.
+func runDaemon(s streams, file, role string, make func(*setup.Settings, *meter.Log, *meter.Meter) daemon) int {
+	settings, code := loadSettings(s, file, role)
+	if code != ExitOK {
+		return code
+	}
+	log := meter.NewLog(s.err, settings.Level, settings.Format, role).With("process", settings.Name)
+	m := meter.New(settings.Name)
+	defer m.Close()
+	d := make(settings, log, m)
+	if err := d.start(); err != nil {
+		return s.fail(err, ExitFailed)
+	}
+	signals := newSignals()
+	log.Infof("stopping after %v", <-signals)
+	drained := goDrain(d)
+	select {
+	case <-drained:
+	case <-signals:
+		log.Warnf("stopping at once")
+		return ExitFailed
+	}
+	d.close()
+	log.Infof("stopped")
+	return ExitOK
+}
+
+func newSignals() <-chan os.Signal {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	return signals
+}
+
+func goDrain(d daemon) <-chan struct{} {
+	drained := make(chan struct{})
+	go func() {
+		defer close(drained)
+		d.drain()
+	}()
+	return drained
+}
--- /dev/null
+++ b/cmds/run.go
@@ -0,0 +1,104 @@
+// Package cmds holds the subcommands: each one parses, calls a service and
+// prints.
+package cmds
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/integrii/flaggy"
+)
+
+// Exit codes.
+const (
+	ExitOK       = 0
+	ExitFailed   = 1
+	ExitUsage    = 2
+	ExitInvalid  = 3 // The settings or the document have faults.
+	ExitLost     = 4 // Another operator's change went first.
+	ExitUnknown  = 5 // It is unknown whether the change took effect.
+	ExitPlatform = 6 // The platform could not be reached; nothing was changed.
+)
+
+// Kind tells the errors of this package apart.
+type Kind string
+
+// Kinds of errors.
+const (
+	KindFile    Kind = "file"
+	KindInvalid Kind = "invalid"
+	KindCall    Kind = "call"
+	KindMissing Kind = "missing"
+)
+
+// Error is the error of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error formats the operation, the kind and the cause.
+func (e *Error) Error() string {
+	return "cmds: " + e.Op + ": " + string(e.Kind) + ": " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// streams are where a subcommand prints.
+type streams struct {
+	out io.Writer
+	err io.Writer
+}
+
+// command is a subcommand with the function that runs it once parsed.
+type command struct {
+	parser *flaggy.Subcommand
+	run    func(streams) int
+}
+
+// Run parses the arguments, runs the subcommand and returns the exit code.
+func Run(args []string, out, errOut io.Writer) int {
+	parser := flaggy.NewParser("cactustide")
+	parser.Description = "routes language-model traffic with service levels and priorities"
+	parser.ShowVersionWithVersionFlag = false
+	var all []command
+	all = append(all, newEntry(), newAgent(), newCheck())
+	ctl, ctlCommands := newCtl()
+	for _, c := range all {
+		parser.AttachSubcommand(c.parser, 1)
+	}
+	parser.AttachSubcommand(ctl, 1)
+	all = append(all, ctlCommands...)
+	if err := parser.ParseArgs(args); err != nil {
+		fmt.Fprintln(errOut, "cactustide:", err)
+		return ExitUsage
+	}
+	for _, c := range all {
+		if c.parser.Used {
+			return c.run(streams{out: out, err: errOut})
+		}
+	}
+	parser.ShowHelp()
+	return ExitUsage
+}
+
+func newSubcommand(name, description string) *flaggy.Subcommand {
+	s := flaggy.NewSubcommand(name)
+	s.Description = description
+	return s
+}
+
+// fail prints an error and returns the exit code for it.
+func (s streams) fail(err error, code int) int {
+	fmt.Fprintln(s.err, "cactustide:", err)
+	return code
+}
+
+func asError[T error](err error) (T, bool) {
+	var found T
+	ok := errors.As(err, &found)
+	return found, ok
+}
--- /dev/null
+++ b/config/check.go
@@ -0,0 +1,240 @@
+package config
+
+import (
+	"fmt"
+	"time"
+)
+
+// MaxFloors bounds the density of the floors: the sum of 1/Period. Above one
+// half, the scheduler could not meet every floor in every window.
+const MaxFloors = 0.5
+
+// MaxWait is the longest queue time a class may have.
+const MaxWait = 24 * time.Hour
+
+const hashLength = 64 // Hex digits of a SHA-256 hash.
+
+// Fault is one error in a document: the key and what is allowed there.
+type Fault struct {
+	Key  string
+	Text string
+}
+
+// String formats the fault for an operator.
+func (f Fault) String() string {
+	return f.Key + ": " + f.Text
+}
+
+type checker struct {
+	faults []Fault
+}
+
+func (c *checker) add(key, format string, args ...any) {
+	c.faults = append(c.faults, Fault{Key: key, Text: fmt.Sprintf(format, args...)})
+}
+
+func (c *checker) checkName(seen map[string]bool, key, name string) {
+	if name == "" {
+		c.add(key+".name", "must not be empty")
+		return
+	}
+	if seen[name] {
+		c.add(key+".name", "%q stands twice; names are unique", name)
+	}
+	seen[name] = true
+}
+
+func (c *checker) checkFraction(key string, v float64) {
+	if !(v >= 0 && v <= 1) {
+		c.add(key, "%v is not allowed; from 0 to 1", v)
+	}
+}
+
+// Check returns every fault of the document, in the order of its keys.
+func Check(d *Document) []Fault {
+	c := &checker{}
+	classes := c.checkClasses(d)
+	partners := c.checkPartners(d, classes)
+	c.checkPresets(d, classes, partners)
+	c.checkServices(d)
+	return c.faults
+}
+
+func (c *checker) checkClasses(d *Document) map[string]bool {
+	seen := map[string]bool{}
+	floors := 0.0
+	if len(d.Classes) == 0 {
+		c.add("classes", "at least one class is needed")
+	}
+	for i, cl := range d.Classes {
+		key := fmt.Sprintf("classes[%d]", i)
+		c.checkName(seen, key, cl.Name)
+		if cl.Tier < 0 || cl.Tier >= Tiers {
+			c.add(key+".tier", "%d is not allowed; from 0 to %d", cl.Tier, Tiers-1)
+		}
+		if cl.Target <= 0 {
+			c.add(key+".target", "must be a duration above zero, such as 850ms")
+		}
+		if cl.Pace < 0 {
+			c.add(key+".pace", "must be a duration of zero or more, such as 30ms")
+		}
+		if cl.Wait <= 0 || cl.Wait > MaxWait {
+			c.add(key+".wait", "must be above zero and at most %v", MaxWait)
+		}
+		if !(cl.Objective > 0 && cl.Objective < 1) {
+			c.add(key+".objective", "%v is not allowed; above 0 and below 1, such as 0.95", cl.Objective)
+		}
+		c.checkFraction(key+".floor", cl.Floor)
+		c.checkFraction(key+".cap", cl.Cap)
+		if cl.Tokens < 0 {
+			c.add(key+".tokens", "must be zero or more")
+		}
+		floors += density(min(1, cl.Floor))
+	}
+	if floors > MaxFloors+roundingSlack {
+		c.add("classes", "floors, each rounded up to one start in a whole number, add up to %.3f; at most %v", floors, MaxFloors)
+	}
+	return seen
+}
+
+func (c *checker) checkPartners(d *Document, classes map[string]bool) map[string]bool {
+	seen := map[string]bool{}
+	owner := map[string]string{}
+	for i, p := range d.Partners {
+		key := fmt.Sprintf("partners[%d]", i)
+		c.checkName(seen, key, p.Name)
+		if !(p.Share > 0) {
+			c.add(key+".share", "must be above zero")
+		}
+		teams := map[string]bool{}
+		for j, t := range p.Teams {
+			tkey := fmt.Sprintf("%s.teams[%d]", key, j)
+			c.checkName(teams, tkey, t.Name)
+			c.checkTeam(tkey, t, classes, owner)
+		}
+	}
+	return seen
+}
+
+func (c *checker) checkTeam(key string, t Team, classes map[string]bool, owner map[string]string) {
+	if !classes[t.Class] {
+		c.add(key+".class", "%q is not a class of this document", t.Class)
+	}
+	for i, name := range t.Classes {
+		if !classes[name] {
+			c.add(fmt.Sprintf("%s.classes[%d]", key, i), "%q is not a class of this document", name)
+		}
+	}
+	if t.Limit < 0 {
+		c.add(key+".limit", "must be zero or more")
+	}
+	for i, hash := range t.Keys {
+		kkey := fmt.Sprintf("%s.keys[%d]", key, i)
+		if !isHash(hash) {
+			c.add(kkey, "must be a SHA-256 hash, %d lower-case hex digits", hashLength)
+			continue
+		}
+		if other, ok := owner[hash]; ok {
+			c.add(kkey, "the same key stands at %s", other)
+		}
+		owner[hash] = kkey
+	}
+}
+
+func (c *checker) checkPresets(d *Document, classes, partners map[string]bool) {
+	seen := map[string]bool{}
+	floor := map[string]float64{}
+	for _, cl := range d.Classes {
+		floor[cl.Name] = cl.Floor
+	}
+	for i, p := range d.Presets {
+		key := fmt.Sprintf("presets[%d]", i)
+		c.checkName(seen, key, p.Name)
+		for j, s := range p.Shares {
+			skey := fmt.Sprintf("%s.shares[%d]", key, j)
+			if !partners[s.Partner] {
+				c.add(skey+".partner", "%q is not a partner of this document", s.Partner)
+			}
+			if !(s.Share > 0) {
+				c.add(skey+".share", "must be above zero")
+			}
+		}
+		c.checkTunes(key, p, classes, floor)
+	}
+	if !seen[d.Preset] {
+		c.add("preset", "%q is not a preset of this document", d.Preset)
+	}
+}
+
+func (c *checker) checkTunes(key string, p Preset, classes map[string]bool, floor map[string]float64) {
+	tuned := map[string]float64{}
+	for name, f := range floor {
+		tuned[name] = f
+	}
+	for j, t := range p.Tunes {
+		tkey := fmt.Sprintf("%s.tunes[%d]", key, j)
+		if !classes[t.Class] {
+			c.add(tkey+".class", "%q is not a class of this document", t.Class)
+		}
+		c.checkFraction(tkey+".floor", t.Floor)
+		c.checkFraction(tkey+".cap", t.Cap)
+		tuned[t.Class] = t.Floor
+	}
+	total := 0.0
+	for _, f := range tuned {
+		total += density(min(1, f))
+	}
+	if total > MaxFloors+roundingSlack {
+		c.add(key+".tunes", "floors under this preset, each rounded up to one start in a whole number, add up to %.3f; at most %v", total, MaxFloors)
+	}
+}
+
+func (c *checker) checkServices(d *Document) {
+	seen := map[string]bool{}
+	for i, s := range d.Services {
+		key := fmt.Sprintf("services[%d]", i)
+		c.checkName(seen, key, s.Name)
+		for j, r := range s.Once {
+			rkey := fmt.Sprintf("%s.once[%d]", key, j)
+			if r.Method == "" {
+				c.add(rkey+".method", "must not be empty")
+			}
+			if r.Path == "" || r.Path[0] != '/' {
+				c.add(rkey+".path", "must start with /")
+			}
+		}
+	}
+}
+
+// roundingSlack absorbs the rounding of 1/floor, such as 1/0.1.
+const roundingSlack = 1e-9
+
+// Period returns the longest distance between two starts of a class with a
+// floor, in starts: 1/floor rounded down. 0 means that there is no floor.
+func Period(floor float64) int {
+	if floor <= 0 {
+		return 0
+	}
+	return int(1/floor + roundingSlack)
+}
+
+// density is the part of all starts that a floor takes.
+func density(floor float64) float64 {
+	period := Period(floor)
+	if period == 0 {
+		return 0
+	}
+	return 1 / float64(period)
+}
+
+func isHash(s string) bool {
+	if len(s) != hashLength {
+		return false
+	}
+	for _, r := range s {
+		if !(r >= '0' && r <= '9' || r >= 'a' && r <= 'f') {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/entry/admin.go
@@ -0,0 +1,185 @@
+package entry
+
+import (
+	"crypto/subtle"
+	"encoding/json"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"cactustide/wire"
+)
+
+// Paths of the admin end.
+const (
+	PathHealth  = "/health"
+	PathReady   = "/ready"
+	PathMetrics = "/metrics"
+	PathStatus  = "/status"
+	PathBurn    = "/burn"
+	PathUsage   = "/usage"
+)
+
+// Status is what an entry tells operators of itself and its agents.
+type Status struct {
+	Name       string
+	Process    string
+	Centre     string
+	Generation uint64
+	Preset     string
+	Ready      bool
+	Agents     []AgentStatus
+}
+
+// AgentStatus is an agent as this entry sees it.
+type AgentStatus struct {
+	Name        string
+	Centre      string
+	Model       string
+	Service     string
+	Incarnation uint64
+	Generation  uint64
+	Preset      string
+	Slots       int32
+	Running     int32
+	// Queued by tier.
+	Queued   []int32
+	Drain    bool
+	Healthy  bool
+	Suspects int
+	// Age of the state, milliseconds; -1 when the agent does not answer.
+	Age int64
+}
+
+// BurnLine is one class's windows.
+type BurnLine struct {
+	Class      string
+	Objective  float64
+	ShortTotal int64
+	ShortGood  int64
+	LongTotal  int64
+	LongGood   int64
+}
+
+// handleAdmin answers health, metrics and operators.
+func (e *Entry) handleAdmin(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case PathHealth:
+		ctx.SetBodyString("ok\n")
+		return
+	case PathReady:
+		e.handleReady(ctx)
+		return
+	case PathMetrics:
+		e.scrape(ctx)
+		return
+	}
+	if !e.isOperator(ctx) {
+		ctx.Error("wrong operator token", fasthttp.StatusUnauthorized)
+		return
+	}
+	switch string(ctx.Path()) {
+	case PathStatus:
+		writeJSON(ctx, e.status(time.Now()))
+	case PathBurn:
+		writeJSON(ctx, e.burnLines(time.Now()))
+	case PathUsage:
+		writeJSON(ctx, e.book.Lines())
+	default:
+		ctx.Error("not found", fasthttp.StatusNotFound)
+	}
+}
+
+func (e *Entry) isOperator(ctx *fasthttp.RequestCtx) bool {
+	got := ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)
+	return subtle.ConstantTimeCompare(got, []byte(bearer+e.settings.Operator)) == 1
+}
+
+func (e *Entry) handleReady(ctx *fasthttp.RequestCtx) {
+	if !e.isReady() {
+		ctx.Error("not ready", fasthttp.StatusServiceUnavailable)
+		return
+	}
+	ctx.SetBodyString("ready\n")
+}
+
+func (e *Entry) isReady() bool {
+	agents, _ := e.table.List()
+	return !e.stopping.Load() && e.view.Load() != nil && len(agents) > 0
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(data)
+}
+
+func (e *Entry) status(now time.Time) Status {
+	s := Status{
+		Name:       e.settings.Name,
+		Process:    e.process,
+		Centre:     e.settings.Centre,
+		Generation: e.config.Generation(),
+		Ready:      e.isReady(),
+	}
+	if d := e.config.Get(); d != nil {
+		s.Preset = d.Preset
+	}
+	agents, seen := e.table.List()
+	for i, a := range agents {
+		found, ok := e.states.Load(a.Name)
+		if !ok {
+			continue
+		}
+		s.Agents = append(s.Agents, agentStatus(found.(*wire.State), now, seen[i]))
+	}
+	return s
+}
+
+func agentStatus(state *wire.State, now, seen time.Time) AgentStatus {
+	a := AgentStatus{
+		Name:        state.GetName(),
+		Centre:      state.GetCentre(),
+		Model:       state.GetModel(),
+		Service:     state.GetService(),
+		Incarnation: state.GetIncarnation(),
+		Generation:  state.GetGeneration(),
+		Preset:      state.GetPreset(),
+		Slots:       state.GetSlots(),
+		Running:     state.GetRunning(),
+		Queued:      state.GetQueued(),
+		Drain:       state.GetDrain(),
+		Healthy:     state.GetHealthy(),
+		Suspects:    len(state.GetMarks()),
+		Age:         -1,
+	}
+	if !seen.IsZero() {
+		a.Age = now.Sub(seen).Milliseconds()
+	}
+	return a
+}
+
+func (e *Entry) burnLines(now time.Time) []BurnLine {
+	v := e.view.Load()
+	if v == nil {
+		return nil
+	}
+	reports := e.burn.Reports(now)
+	lines := []BurnLine{}
+	for _, c := range v.document.Classes {
+		r := reports[c.Name]
+		lines = append(lines, BurnLine{
+			Class:      c.Name,
+			Objective:  c.Objective,
+			ShortTotal: r.Short.Total,
+			ShortGood:  r.Short.Good,
+			LongTotal:  r.Long.Total,
+			LongGood:   r.Long.Good,
+		})
+	}
+	return lines
+}
--- /dev/null
+++ b/entry/call.go
@@ -0,0 +1,157 @@
+package entry
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"google.golang.org/protobuf/proto"
+
+	"cactustide/wire"
+)
+
+const (
+	maxAgentConns = 1 << 14
+	frameBuffer   = 8 << 10 // Bytes.
+	dialTimeout   = time.Second
+	agentIdle     = 20 * time.Second
+	headerContent = "application/octet-stream"
+	pathJob       = "/job"
+	bearer        = "Bearer "
+)
+
+var (
+	errCallerGone = errors.New("entry: the caller went away")
+	errStatus     = errors.New("entry: the agent refused the connection")
+)
+
+// progressConn fails a read after a time without a sign of life, so that a
+// frozen agent is noticed: it still accepts connections.
+type progressConn struct {
+	net.Conn
+	limit time.Duration
+}
+
+// Read sets the deadline anew before each read.
+func (c *progressConn) Read(p []byte) (int, error) {
+	if err := c.SetReadDeadline(time.Now().Add(c.limit)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(p)
+}
+
+// newJobClient returns the client for jobs. It never resends: a job whose
+// connection broke may be running.
+func newJobClient(progress time.Duration) *fasthttp.Client {
+	return &fasthttp.Client{
+		Dial: func(address string) (net.Conn, error) {
+			conn, err := net.DialTimeout("tcp", address, dialTimeout)
+			if err != nil {
+				return nil, err
+			}
+			return &progressConn{Conn: conn, limit: progress}, nil
+		},
+		MaxConnsPerHost:           maxAgentConns,
+		MaxIdleConnDuration:       agentIdle,
+		StreamResponseBody:        true,
+		NoDefaultUserAgentHeader:  true,
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) {
+			return false, false
+		},
+	}
+}
+
+// call is one job at one agent.
+type call struct {
+	agent  string
+	resp   *fasthttp.Response
+	reader *bufio.Reader
+	// unsent means that the job certainly did not reach the agent.
+	unsent bool
+}
+
+// open sends a job to an agent.
+func (e *Entry) open(agent, address string, job *wire.Job) (*call, error) {
+	data, err := proto.Marshal(job)
+	if err != nil {
+		return &call{agent: agent, unsent: true}, err
+	}
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.SetRequestURI("http://" + address + pathJob)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.Header.SetContentType(headerContent)
+	req.Header.Set(fasthttp.HeaderAuthorization, bearer+e.settings.Token)
+	req.SetBodyRaw(data)
+	c := &call{agent: agent, resp: fasthttp.AcquireResponse()}
+	if err := e.jobs.Do(req, c.resp); err != nil {
+		c.unsent = isDialError(err)
+		c.close()
+		return c, err
+	}
+	if c.resp.StatusCode() != fasthttp.StatusOK {
+		c.unsent = true // The agent's HTTP end refused it before reading a job.
+		c.close()
+		return c, errStatus
+	}
+	c.reader = bufio.NewReaderSize(c.resp.BodyStream(), frameBuffer)
+	return c, nil
+}
+
+func isDialError(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// next returns the next frame that is not a sign of life. gone is asked at
+// each sign of life whether the caller went away.
+func (c *call) next(gone func() bool) (*wire.Frame, error) {
+	for {
+		f := &wire.Frame{}
+		if err := wire.ReadFrame(c.reader, f); err != nil {
+			return nil, err
+		}
+		if f.GetKind() != wire.Kind_WAIT {
+			return f, nil
+		}
+		if gone() {
+			return nil, errCallerGone
+		}
+	}
+}
+
+// close ends the call. If the answer was not read to its end, the connection
+// closes, which is how the agent learns that the job is cancelled.
+func (c *call) close() {
+	if c.resp == nil {
+		return
+	}
+	_ = c.resp.CloseBodyStream()
+	fasthttp.ReleaseResponse(c.resp)
+	c.resp = nil
+	c.reader = nil
+}
+
+// isGone reports whether the peer closed a connection that nothing reads. It
+// peeks, so a pipelined request stays in place.
+func isGone(conn net.Conn) bool {
+	tcp, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return true
+	}
+	gone := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		gone = n == 0 && err == nil || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
+	})
+	return gone || err != nil
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,286 @@
+// Package entry is the daemon that callers talk to. It keeps nothing: it finds
+// a request's partner, team and class, chooses an agent, passes the answer on
+// and counts the outcome.
+package entry
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
+
+	"cactustide/burn"
+	"cactustide/config"
+	"cactustide/meter"
+	"cactustide/retry"
+	"cactustide/route"
+	"cactustide/setup"
+	"cactustide/store"
+	"cactustide/usage"
+	"cactustide/wire"
+)
+
+// Kind tells the errors of this package apart.
+type Kind string
+
+// Kinds of errors.
+const (
+	KindListen Kind = "listen"
+)
+
+// Error is the error of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error formats the operation, the kind and the cause.
+func (e *Error) Error() string {
+	return "entry: " + e.Op + ": " + string(e.Kind) + ": " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+const (
+	watchWait     = 30 * time.Second
+	watchRetry    = 500 * time.Millisecond
+	usageInterval = 5 * time.Second
+	// settleTime is how long a stopping entry stays open after it stopped being
+	// ready, so that the balancer notices.
+	settleTime = 2 * time.Second
+	serverName = "cactustide"
+)
+
+// DocumentKey is the key of the configuration document below the prefix.
+const DocumentKey = "/document"
+
+// UsageKey starts the keys of usage below the prefix.
+const UsageKey = "/usage/"
+
+// Entry is the daemon's state.
+type Entry struct {
+	settings *setup.Settings
+	// process names this run of the daemon.
+	process  string
+	log      *meter.Log
+	scope    tally.Scope
+	scrape   fasthttp.RequestHandler
+	platform *store.Client
+	jobs     *fasthttp.Client
+	config   config.Holder
+	view     atomic.Pointer[view]
+	table    *route.Table
+	marks    *retry.Marks
+	budget   *retry.Budget
+	limits   *limits
+	book     *usage.Book
+	burn     *burn.Meter
+	links    links
+	// states holds the last wire.State of each agent by name.
+	states sync.Map
+
+	stopping atomic.Bool
+	streams  sync.WaitGroup
+	callers  *fasthttp.Server
+	admin    *fasthttp.Server
+	serving  sync.WaitGroup
+	cancel   context.CancelFunc
+	group    *errgroup.Group
+	sequence atomic.Uint64
+}
+
+// New returns an entry. Start runs it.
+func New(s *setup.Settings, log *meter.Log, m *meter.Meter) *Entry {
+	e := &Entry{
+		settings: s,
+		process:  s.Name + "-" + strconv.FormatUint(rand.Uint64(), 36),
+		log:      log,
+		scope:    m.Scope,
+		scrape:   m.Scrape,
+		platform: store.New(s.Platform),
+		jobs:     newJobClient(s.Progress),
+		table:    route.New(),
+		marks:    retry.NewMarks(),
+		budget:   retry.NewBudget(),
+		limits:   newLimits(),
+		book:     usage.New(),
+		burn:     burn.New(),
+		links:    links{byID: map[string]*link{}},
+	}
+	e.platform.OnCall = func(op string, failed bool) {
+		m.Scope.Tagged(map[string]string{"call": op}).Counter("platform_calls").Inc(1)
+		if failed {
+			m.Scope.Tagged(map[string]string{"call": op}).Counter("platform_failures").Inc(1)
+		}
+	}
+	return e
+}
+
+// Start listens and starts the loops.
+func (e *Entry) Start() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	e.cancel = cancel
+	e.group, ctx = errgroup.WithContext(ctx)
+	if err := e.listen(); err != nil {
+		cancel()
+		return &Error{Op: "listen", Kind: KindListen, Err: err}
+	}
+	e.group.Go(func() error { return e.watchDocument(ctx) })
+	e.group.Go(func() error { return e.watchHosts(ctx) })
+	e.group.Go(func() error { return e.writeUsage(ctx) })
+	e.log.Infof("listening on %s as %s", e.settings.Listen, e.process)
+	return nil
+}
+
+func (e *Entry) listen() error {
+	callers, err := net.Listen("tcp", e.settings.Listen)
+	if err != nil {
+		return err
+	}
+	admin, err := net.Listen("tcp", e.settings.Admin)
+	if err != nil {
+		_ = callers.Close()
+		return err
+	}
+	e.callers = &fasthttp.Server{
+		Name:               serverName,
+		Handler:            e.handle,
+		ErrorHandler:       e.handleError,
+		MaxRequestBodySize: int(e.settings.Body),
+		CloseOnShutdown:    true,
+	}
+	e.admin = &fasthttp.Server{Name: serverName, Handler: e.handleAdmin, CloseOnShutdown: true}
+	e.serving.Go(func() {
+		if e.settings.Cert != "" {
+			_ = e.callers.ServeTLS(callers, e.settings.Cert, e.settings.Key)
+			return
+		}
+		_ = e.callers.Serve(callers)
+	})
+	e.serving.Go(func() { _ = e.admin.Serve(admin) })
+	return nil
+}
+
+// handleError answers requests that the library could not read.
+func (e *Entry) handleError(ctx *fasthttp.RequestCtx, err error) {
+	if err == fasthttp.ErrBodyTooLarge {
+		(&Fault{
+			Status:  fasthttp.StatusRequestEntityTooLarge,
+			Code:    "large",
+			Message: fmt.Sprintf("the body is larger than the limit of %d bytes", e.settings.Body),
+			Param:   "body",
+			Run:     RunNone,
+		}).write(ctx, e.newID())
+		return
+	}
+	invalid("request", "the request could not be read: "+err.Error()).write(ctx, e.newID())
+}
+
+func (e *Entry) newID() string {
+	return e.process + "-" + strconv.FormatUint(e.sequence.Add(1), 36)
+}
+
+// watchDocument adopts each newer configuration document of the platform.
+func (e *Entry) watchDocument(ctx context.Context) error {
+	var index uint64
+	for ctx.Err() == nil {
+		pair, seen, err := e.platform.Watch(e.settings.Prefix+DocumentKey, index, watchWait)
+		if err != nil {
+			e.log.Warnf("platform: %v", err)
+			index = 0
+		} else if pair.Version != 0 {
+			e.adoptEncoded(pair.Value)
+		}
+		if err == nil && seen > index {
+			index = seen
+			continue
+		}
+		if err == nil && seen < index {
+			index = 0 // The service started anew.
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(watchRetry):
+		}
+	}
+	return nil
+}
+
+func (e *Entry) adoptEncoded(data []byte) {
+	d, err := wire.DecodeDocument(data)
+	if err != nil {
+		e.log.Errorf("document: %v", err)
+		return
+	}
+	if !e.config.Adopt(d) {
+		return
+	}
+	e.view.Store(newView(e.config.Get()))
+	e.scope.Gauge("generation").Update(float64(d.Generation))
+	e.log.Infof("generation %d, preset %s", d.Generation, d.Preset)
+	e.kickLinks()
+}
+
+// writeUsage keeps this process's counters in the platform's service. They are
+// cumulative, so that a lost answer or a repeated write changes nothing.
+func (e *Entry) writeUsage(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(usageInterval):
+			e.flushUsage()
+		}
+	}
+}
+
+func (e *Entry) flushUsage() {
+	lines := e.book.Lines()
+	if len(lines) == 0 {
+		return
+	}
+	data, err := proto.Marshal(wire.UsageTo(e.process, lines))
+	if err != nil {
+		e.log.Errorf("usage: %v", err)
+		return
+	}
+	if err := e.platform.Put(e.settings.Prefix+UsageKey+e.process, data); err != nil {
+		e.log.Warnf("usage not written: %v", err)
+	}
+}
+
+// Drain stops being ready, then waits for the requests in progress, at most
+// limit.
+func (e *Entry) Drain(limit time.Duration) {
+	e.stopping.Store(true)
+	time.Sleep(settleTime)
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	if err := e.callers.ShutdownWithContext(ctx); err != nil {
+		e.log.Warnf("requests still in progress after %v", limit)
+	}
+}
+
+// Close stops the servers and loops and waits for them.
+func (e *Entry) Close() {
+	_ = e.callers.Shutdown()
+	e.streams.Wait()
+	_ = e.admin.Shutdown()
+	e.serving.Wait()
+	e.cancel()
+	_ = e.group.Wait()
+	e.links.group.Wait()
+	e.flushUsage()
+	e.jobs.CloseIdleConnections()
+}
--- /dev/null
+++ b/entry/fault.go
@@ -0,0 +1,90 @@
+package entry
+
+import (
+	"encoding/json"
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Run says whether a request was executed, as told to callers.
+type Run string
+
+// Values of Run.
+const (
+	RunNone  Run = "none"
+	RunDone  Run = "done"
+	RunMaybe Run = "maybe"
+)
+
+// Fault is an error answer to a caller, in the published JSON form.
+type Fault struct {
+	Status int
+	// Code is a fixed word for programs.
+	Code    string
+	Message string
+	// Param names the faulty field.
+	Param string
+	Run   Run
+	// After is when a resend may help, seconds; 0 means not at all.
+	After int
+}
+
+// Error formats the code and the message.
+func (f *Fault) Error() string { return "entry: " + f.Code + ": " + f.Message }
+
+// Headers of answers to callers.
+const (
+	headerRequest = "X-Request-Id"
+	headerRun     = "X-Run"
+	headerKept    = "X-Kept"
+	headerKey     = "Idempotency-Key"
+	headerClass   = "X-Class"
+)
+
+func typeOf(status int) string {
+	switch {
+	case status == fasthttp.StatusUnauthorized:
+		return "authentication_error"
+	case status == fasthttp.StatusTooManyRequests:
+		return "rate_limit_error"
+	case status < fasthttp.StatusInternalServerError:
+		return "invalid_request_error"
+	default:
+		return "server_error"
+	}
+}
+
+// body encodes the fault in the published form, with the run and the id added.
+func (f *Fault) body(id string) []byte {
+	type detail struct {
+		Message string  `json:"message"`
+		Type    string  `json:"type"`
+		Param   *string `json:"param"`
+		Code    string  `json:"code"`
+		Run     Run     `json:"run"`
+		Request string  `json:"request"`
+	}
+	d := detail{Message: f.Message, Type: typeOf(f.Status), Code: f.Code, Run: f.Run, Request: id}
+	if f.Param != "" {
+		d.Param = &f.Param
+	}
+	data, _ := json.Marshal(map[string]detail{"error": d}) // Strings always encode.
+	return data
+}
+
+// write answers a caller with the fault.
+func (f *Fault) write(ctx *fasthttp.RequestCtx, id string) {
+	ctx.SetStatusCode(f.Status)
+	ctx.SetContentType("application/json")
+	ctx.Response.Header.Set(headerRequest, id)
+	ctx.Response.Header.Set(headerRun, string(f.Run))
+	if f.After > 0 {
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(f.After))
+	}
+	ctx.SetBody(f.body(id))
+}
+
+func invalid(param, message string) *Fault {
+	return &Fault{Status: fasthttp.StatusBadRequest, Code: "invalid", Message: message, Param: param, Run: RunNone}
+}
--- /dev/null
+++ b/entry/serve.go
@@ -0,0 +1,236 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"cactustide/agent"
+	"cactustide/retry"
+	"cactustide/wire"
+)
+
+// maxTries bounds the agents asked for one request. Agents that refuse are not
+// retries: a refused job was not run.
+const maxTries = 16
+
+// answer is what a caller gets: a fault, a whole body, or a stream of which the
+// first piece is there.
+type answer struct {
+	fault  *Fault
+	status int
+	kind   string
+	body   []byte
+	kept   bool
+	// tokens of a whole body.
+	tokens int64
+	// stream is the call that the rest of a stream comes from.
+	stream *call
+	first  *wire.Frame
+	gone   bool
+}
+
+// attempt is how one try at an agent ended.
+type attempt struct {
+	answer *answer
+	// refused holds the agent's reason if the job was not run.
+	refused string
+	// broken means that the job may have run.
+	broken bool
+	unsent bool
+}
+
+// serve finds an agent for a request and returns the answer's start.
+func (e *Entry) serve(r *request, conn net.Conn) *answer {
+	e.budget.Earn()
+	r.want.Avoid = map[string]bool{}
+	refusal := ""
+	for try := range maxTries {
+		now := time.Now()
+		if fault := e.judge(now, r); fault != nil {
+			return &answer{fault: fault}
+		}
+		left := r.left(now)
+		if left <= 0 {
+			return &answer{fault: refusalFault(agent.ReasonExpired)}
+		}
+		name, ok := e.table.Choose(now, r.want, rand.IntN)
+		if !ok {
+			break
+		}
+		address, ok := e.addressOf(name)
+		if !ok {
+			r.want.Avoid[name] = true
+			continue
+		}
+		r.job.Id = r.id + "-" + strconv.Itoa(try)
+		r.job.Left = left
+		out := e.try(r, name, address, conn)
+		if out.answer != nil {
+			return out.answer
+		}
+		r.want.Avoid[name] = true
+		if out.refused != "" {
+			refusal = out.refused
+			continue
+		}
+		e.table.Lose(name)
+		if out.unsent {
+			refusal = agent.ReasonDown
+			continue
+		}
+		if !e.budget.Take() {
+			return &answer{fault: brokenFault()}
+		}
+		e.scope.Counter("retries").Inc(1)
+		refusal = "broken"
+	}
+	if refusal == "broken" {
+		return &answer{fault: brokenFault()}
+	}
+	return &answer{fault: refusalFault(refusal)}
+}
+
+// judge refuses requests that crashed several upstreams, and marks suspects.
+func (e *Entry) judge(now time.Time, r *request) *Fault {
+	verdict, crashed := e.marks.Judge(now, r.job.GetPrint())
+	r.job.Suspect = verdict != retry.Clean
+	for _, name := range crashed {
+		r.want.Avoid[name] = true
+	}
+	if verdict == retry.Quarantined {
+		return &Fault{
+			Status:  fasthttp.StatusUnprocessableEntity,
+			Code:    "quarantined",
+			Message: "this request was running when two upstreams crashed; it is refused for a time",
+			Run:     RunNone,
+		}
+	}
+	return nil
+}
+
+// try sends the job to one agent and waits for the answer's start.
+func (e *Entry) try(r *request, name, address string, conn net.Conn) attempt {
+	gone := func() bool { return isGone(conn) }
+	c, err := e.open(name, address, r.job)
+	if err != nil {
+		e.log.With("request", r.job.GetId()).Infof("no answer from %s: %v", name, err)
+		return attempt{broken: true, unsent: c.unsent}
+	}
+	out := &answer{}
+	for {
+		f, err := c.next(gone)
+		if err == errCallerGone {
+			c.close()
+			return attempt{answer: &answer{gone: true}}
+		}
+		if err != nil {
+			c.close()
+			return attempt{broken: true}
+		}
+		e.learn(f.GetState())
+		switch f.GetKind() {
+		case wire.Kind_HEAD:
+			out.status = int(f.GetStatus())
+			out.kind = f.GetType()
+			out.kept = f.GetKept()
+		case wire.Kind_DATA:
+			if isEvents(out.kind) {
+				out.stream = c
+				out.first = f
+				return attempt{answer: out}
+			}
+			out.body = append(out.body, f.GetData()...)
+		case wire.Kind_END:
+			c.close()
+			return e.endOf(r, out, f)
+		case wire.Kind_REFUSE:
+			c.close()
+			return refused(f)
+		}
+	}
+}
+
+// endOf judges the last frame of a job.
+func (e *Entry) endOf(r *request, out *answer, f *wire.Frame) attempt {
+	if f.GetRun() == wire.Run_DONE {
+		out.tokens = f.GetTokens()
+		return attempt{answer: out}
+	}
+	r.tokens += f.GetTokens()
+	r.wasted += f.GetTokens()
+	return attempt{broken: true}
+}
+
+// refused judges a job that the agent did not run now. Some refusals hold at
+// every agent.
+func refused(f *wire.Frame) attempt {
+	switch {
+	case f.GetReason() == agent.ReasonMismatch, f.GetRun() != wire.Run_NONE:
+		return attempt{answer: &answer{fault: keyFault(f)}}
+	default:
+		return attempt{refused: f.GetReason()}
+	}
+}
+
+func keyFault(f *wire.Frame) *Fault {
+	if f.GetReason() == agent.ReasonMismatch {
+		return &Fault{
+			Status:  fasthttp.StatusUnprocessableEntity,
+			Code:    "mismatch",
+			Message: "the idempotency key was used with another request",
+			Param:   headerKey,
+			Run:     RunNone,
+		}
+	}
+	fault := &Fault{
+		Status:  fasthttp.StatusConflict,
+		Code:    "conflict",
+		Message: "an earlier call with this idempotency key has started; its answer is not known",
+		Param:   headerKey,
+		Run:     RunMaybe,
+		After:   retryLater,
+	}
+	if f.GetRun() == wire.Run_DONE {
+		fault.Message = "an earlier call with this idempotency key ran; its answer was too large to keep"
+		fault.Run = RunDone
+		fault.After = 0
+	}
+	return fault
+}
+
+// Times after which a resend may help, seconds.
+const (
+	retrySoon  = 1
+	retryLater = 5
+)
+
+func refusalFault(reason string) *Fault {
+	f := &Fault{Status: fasthttp.StatusServiceUnavailable, Code: reason, Run: RunNone, After: retrySoon}
+	switch reason {
+	case "", agent.ReasonDown, agent.ReasonDrain:
+		f.Code = "unavailable"
+		f.Message = "no upstream can take the request now"
+	case agent.ReasonExpired:
+		f.Message = "the request could not start within its class's queue time"
+	case agent.ReasonPlatform:
+		f.Message = "the platform cannot record the call now, so it was not started"
+		f.After = retryLater
+	default:
+		f.Code = "full"
+		f.Message = "all upstreams are full of work that goes first"
+	}
+	return f
+}
+
+func brokenFault() *Fault {
+	return &Fault{
+		Status:  fasthttp.StatusBadGateway,
+		Code:    "broken",
+		Message: "the upstream broke off; the request may have run",
+		Run:     RunMaybe,
+	}
+}
--- /dev/null
+++ b/fakes/engine.go
@@ -0,0 +1,262 @@
+package fakes
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// EngineOptions describe a model engine.
+type EngineOptions struct {
+	Address string
+	Model   string
+	// Slots is how many requests it runs at once; more wait by priority.
+	Slots int
+	// Prefill is the time before the first token.
+	Prefill time.Duration
+	// Pace is the time for each further token.
+	Pace time.Duration
+	// Down is how long a crash lasts.
+	Down time.Duration
+}
+
+// Engine is a model engine with the published chat interface. The last
+// message steers it: "tokens=N" sets the output length, "crash" crashes it, and
+// "cut=N" breaks the stream off after N tokens. The output repeats a hash of the message, so
+// that a caller can tell its own answer.
+type Engine struct {
+	server
+	options EngineOptions
+	slow    atomic.Int64
+	crashes atomic.Int64
+	// Generated counts all tokens.
+	generated atomic.Int64
+	started   atomic.Int64
+
+	mu      sync.Mutex
+	running int
+	waiting []*engineWaiter
+}
+
+type engineWaiter struct {
+	priority int
+	ready    chan struct{}
+}
+
+// StartEngine starts an engine.
+func StartEngine(o EngineOptions) (*Engine, error) {
+	e := &Engine{options: o}
+	e.slow.Store(1)
+	return e, e.start(o.Address, e.handle)
+}
+
+// SetSlow multiplies all times, which makes the engine a straggler.
+func (e *Engine) SetSlow(factor int) { e.slow.Store(int64(factor)) }
+
+// Crashes returns how often the engine crashed.
+func (e *Engine) Crashes() int { return int(e.crashes.Load()) }
+
+// Generated returns the number of tokens generated.
+func (e *Engine) Generated() int64 { return e.generated.Load() }
+
+// Started returns the number of requests started.
+func (e *Engine) Started() int64 { return e.started.Load() }
+
+// Crash cuts all connections and refuses new ones for a time.
+func (e *Engine) Crash() {
+	e.crashes.Add(1)
+	e.crash(e.options.Down)
+}
+
+type chatRequest struct {
+	Model    string
+	Stream   bool
+	Priority int
+	Messages []struct {
+		Role    string
+		Content any
+	}
+}
+
+func (r *chatRequest) last() string {
+	if len(r.Messages) == 0 {
+		return ""
+	}
+	return fmt.Sprint(r.Messages[len(r.Messages)-1].Content)
+}
+
+// Expected returns the whole answer to a last message.
+func Expected(last string) string {
+	var b strings.Builder
+	for i := range outputLength(last) {
+		b.WriteString(word(last, i))
+	}
+	return b.String()
+}
+
+func word(last string, i int) string {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(last))
+	return fmt.Sprintf("%08x.%d ", h.Sum32(), i)
+}
+
+func outputLength(last string) int { return option(last, "tokens=", 8) }
+
+func option(last, name string, otherwise int) int {
+	_, rest, ok := strings.Cut(last, name)
+	if !ok {
+		return otherwise
+	}
+	rest, _, _ = strings.Cut(rest, " ")
+	n, err := strconv.Atoi(rest)
+	if err != nil {
+		return otherwise
+	}
+	return n
+}
+
+func (e *Engine) handle(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case "/health":
+		return
+	case "/load":
+		e.mu.Lock()
+		fmt.Fprintf(ctx, `{"running":%d,"waiting":%d}`, e.running, len(e.waiting))
+		e.mu.Unlock()
+		return
+	case "/fake/slow":
+		n, _ := strconv.Atoi(string(ctx.PostBody()))
+		e.SetSlow(max(1, n))
+		return
+	case "/fake/crash":
+		go e.Crash()
+		return
+	case "/fake/stats":
+		fmt.Fprintf(ctx, `{"crashes":%d,"generated":%d,"started":%d}`, e.Crashes(), e.Generated(), e.Started())
+		return
+	case "/v1/chat/completions":
+	default:
+		ctx.Error("not found", fasthttp.StatusNotFound)
+		return
+	}
+	var req chatRequest
+	if err := json.Unmarshal(ctx.PostBody(), &req); err != nil {
+		ctx.Error(`{"error":{"message":"bad body"}}`, fasthttp.StatusBadRequest)
+		return
+	}
+	if req.Stream {
+		e.stream(ctx, &req)
+		return
+	}
+	e.whole(ctx, &req)
+}
+
+// enter waits for a slot, higher priority (a lower number) first.
+func (e *Engine) enter(priority int) {
+	e.started.Add(1)
+	e.mu.Lock()
+	if e.running < e.options.Slots {
+		e.running++
+		e.mu.Unlock()
+		return
+	}
+	w := &engineWaiter{priority: priority, ready: make(chan struct{})}
+	at := len(e.waiting)
+	for at > 0 && e.waiting[at-1].priority > priority {
+		at--
+	}
+	e.waiting = slices.Insert(e.waiting, at, w)
+	e.mu.Unlock()
+	<-w.ready
+}
+
+func (e *Engine) leave() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.waiting) > 0 {
+		close(e.waiting[0].ready)
+		e.waiting = e.waiting[1:]
+		return
+	}
+	e.running--
+}
+
+func (e *Engine) sleep(d time.Duration) {
+	if d > 0 {
+		time.Sleep(d * time.Duration(e.slow.Load()))
+	}
+}
+
+func (e *Engine) whole(ctx *fasthttp.RequestCtx, req *chatRequest) {
+	e.enter(req.Priority)
+	defer e.leave()
+	last := req.last()
+	n := outputLength(last)
+	e.sleep(e.options.Prefill)
+	if e.shouldCrash(last) {
+		drop(ctx)
+		return
+	}
+	e.sleep(e.options.Pace * time.Duration(n))
+	e.generated.Add(int64(n))
+	answer := map[string]any{
+		"id": "chatcmpl-1", "object": "chat.completion", "created": time.Now().Unix(), "model": req.Model,
+		"choices": []any{map[string]any{
+			"index": 0, "finish_reason": "stop",
+			"message": map[string]any{"role": "assistant", "content": Expected(last)},
+		}},
+		"usage": map[string]any{"prompt_tokens": len(last), "completion_tokens": n, "total_tokens": len(last) + n},
+	}
+	data, _ := json.Marshal(answer)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(data)
+}
+
+func (e *Engine) shouldCrash(last string) bool {
+	if !strings.Contains(last, "crash") {
+		return false
+	}
+	go e.Crash()
+	time.Sleep(20 * time.Millisecond)
+	return true
+}
+
+func (e *Engine) stream(ctx *fasthttp.RequestCtx, req *chatRequest) {
+	last := req.last()
+	model := req.Model
+	priority := req.Priority
+	ctx.SetContentType("text/event-stream")
+	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+		e.enter(priority)
+		defer e.leave()
+		e.sleep(e.options.Prefill)
+		if e.shouldCrash(last) {
+			return
+		}
+		cut := option(last, "cut=", -1)
+		for i := range outputLength(last) {
+			if i == cut {
+				return
+			}
+			if i > 0 {
+				e.sleep(e.options.Pace)
+			}
+			e.generated.Add(1)
+			fmt.Fprintf(w, `data: {"id":"chatcmpl-1","object":"chat.completion.chunk","created":1,"model":%q,"choices":[{"index":0,"delta":{"content":%q}}]}`+"\n\n", model, word(last, i))
+			if w.Flush() != nil {
+				return
+			}
+		}
+		fmt.Fprintf(w, `data: {"id":"chatcmpl-1","object":"chat.completion.chunk","created":1,"model":%q,"choices":[{"index":0,"delta":{},"finish_reason":"stop"}]}`+"\n\ndata: [DONE]\n\n", model)
+		_ = w.Flush()
+	})
+}
--- /dev/null
+++ b/fakes/kv.go
@@ -0,0 +1,274 @@
+package fakes
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// KVFaults are switched on while the service runs.
+type KVFaults struct {
+	// Down: calls get no answer and have no effect.
+	Down bool
+	// Slow delays each call, milliseconds.
+	Slow int
+	// Lose is the probability that a write's answer is lost after its effect.
+	Lose float64
+	// Drop is the probability that a call is lost before its effect.
+	Drop float64
+	// Stale is the probability that a read returns the value before the last
+	// write.
+	Stale float64
+}
+
+type kvValue struct {
+	data  []byte
+	index uint64
+	old   []byte
+	was   uint64
+}
+
+// KVHost is one host of the list.
+type KVHost struct {
+	Name    string
+	Address string
+	Port    int
+	Peer    string
+	Group   string
+	Leaving bool
+}
+
+// KV is the platform's service: /v1/kv with ?cas= and blocking reads, and
+// /v1/health/service.
+type KV struct {
+	server
+	mu     sync.Mutex
+	values map[string]*kvValue
+	index  uint64
+	wake   chan struct{}
+	faults KVFaults
+	hosts  map[string]KVHost
+	random *rand.Rand
+	calls  map[string]int
+}
+
+// StartKV starts the service at address.
+func StartKV(address string, seed uint64) (*KV, error) {
+	kv := &KV{
+		values: map[string]*kvValue{},
+		wake:   make(chan struct{}),
+		hosts:  map[string]KVHost{},
+		random: rand.New(rand.NewPCG(seed, seed)),
+		calls:  map[string]int{},
+	}
+	return kv, kv.start(address, kv.handle)
+}
+
+// SetFaults replaces the faults.
+func (kv *KV) SetFaults(f KVFaults) {
+	kv.mu.Lock()
+	kv.faults = f
+	kv.mu.Unlock()
+}
+
+// SetHost adds or replaces a host of the list.
+func (kv *KV) SetHost(h KVHost) {
+	kv.mu.Lock()
+	kv.hosts[h.Name] = h
+	kv.mu.Unlock()
+}
+
+// Calls returns the number of calls by kind.
+func (kv *KV) Calls() map[string]int {
+	kv.mu.Lock()
+	defer kv.mu.Unlock()
+	out := map[string]int{}
+	for k, n := range kv.calls {
+		out[k] = n
+	}
+	return out
+}
+
+func (kv *KV) chance(p float64) bool {
+	kv.mu.Lock()
+	defer kv.mu.Unlock()
+	return p > 0 && kv.random.Float64() < p
+}
+
+func (kv *KV) count(kind string) {
+	kv.mu.Lock()
+	kv.calls[kind]++
+	kv.mu.Unlock()
+}
+
+func (kv *KV) handle(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	switch path {
+	case "/fake/faults":
+		var f KVFaults
+		_ = json.Unmarshal(ctx.PostBody(), &f)
+		kv.SetFaults(f)
+		return
+	case "/fake/host":
+		var h KVHost
+		_ = json.Unmarshal(ctx.PostBody(), &h)
+		kv.SetHost(h)
+		return
+	case "/health":
+		return
+	}
+	kv.mu.Lock()
+	f := kv.faults
+	kv.mu.Unlock()
+	if f.Slow > 0 {
+		time.Sleep(time.Duration(f.Slow) * time.Millisecond)
+	}
+	if f.Down || kv.chance(f.Drop) {
+		drop(ctx)
+		return
+	}
+	if strings.HasPrefix(path, "/v1/health/service/") {
+		kv.count("hosts")
+		kv.listHosts(ctx)
+		return
+	}
+	key, ok := strings.CutPrefix(path, "/v1/kv/")
+	switch {
+	case !ok:
+		ctx.Error("not found", fasthttp.StatusNotFound)
+	case ctx.IsGet():
+		kv.count("read")
+		kv.read(ctx, key, kv.chance(f.Stale))
+	case ctx.IsPut():
+		kv.count("write")
+		kv.write(ctx, key)
+		if kv.chance(f.Lose) {
+			drop(ctx)
+		}
+	}
+}
+
+// drop closes the connection without an answer.
+func drop(ctx *fasthttp.RequestCtx) {
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(closeConn)
+}
+
+type kvEntry struct {
+	Key         string
+	Value       string
+	ModifyIndex uint64
+}
+
+func (kv *KV) read(ctx *fasthttp.RequestCtx, key string, stale bool) {
+	args := ctx.QueryArgs()
+	if args.Has("index") {
+		after, _ := strconv.ParseUint(string(args.Peek("index")), 10, 64)
+		wait, _ := time.ParseDuration(string(args.Peek("wait")))
+		kv.waitFor(key, after, wait)
+	}
+	kv.mu.Lock()
+	var entries []kvEntry
+	seen := kv.index
+	for name, v := range kv.values {
+		if name != key && !(args.Has("recurse") && strings.HasPrefix(name, key)) {
+			continue
+		}
+		data, index := v.data, v.index
+		if stale && v.was > 0 {
+			data, index = v.old, v.was
+		}
+		if !args.Has("recurse") {
+			seen = index
+		}
+		entries = append(entries, kvEntry{Key: name, Value: base64.StdEncoding.EncodeToString(data), ModifyIndex: index})
+	}
+	kv.mu.Unlock()
+	ctx.Response.Header.Set("X-Consul-Index", strconv.FormatUint(max(1, seen), 10))
+	if len(entries) == 0 {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	data, _ := json.Marshal(entries)
+	ctx.SetBody(data)
+}
+
+// waitFor returns when the key has changed since an index, or after wait. An
+// absent key waits for the whole service's next write.
+func (kv *KV) waitFor(key string, after uint64, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		kv.mu.Lock()
+		now := kv.index
+		if v, ok := kv.values[key]; ok {
+			now = v.index
+		}
+		wake := kv.wake
+		down := kv.faults.Down
+		kv.mu.Unlock()
+		if max(1, now) > after || down {
+			return
+		}
+		select {
+		case <-wake:
+		case <-timer.C:
+			return
+		}
+	}
+}
+
+func (kv *KV) write(ctx *fasthttp.RequestCtx, key string) {
+	args := ctx.QueryArgs()
+	kv.mu.Lock()
+	defer kv.mu.Unlock()
+	v, ok := kv.values[key]
+	if args.Has("cas") {
+		want, _ := strconv.ParseUint(string(args.Peek("cas")), 10, 64)
+		if !ok && want != 0 || ok && want != v.index {
+			ctx.SetBodyString("false")
+			return
+		}
+	}
+	if !ok {
+		v = &kvValue{}
+		kv.values[key] = v
+	}
+	kv.index++
+	v.old, v.was = v.data, v.index
+	v.data, v.index = append([]byte(nil), ctx.PostBody()...), kv.index
+	close(kv.wake)
+	kv.wake = make(chan struct{})
+	ctx.SetBodyString("true")
+}
+
+func (kv *KV) listHosts(ctx *fasthttp.RequestCtx) {
+	type check struct{ CheckID, Status string }
+	type service struct {
+		ID, Address string
+		Port        int
+		Meta        map[string]string
+	}
+	type entry struct {
+		Service service
+		Checks  []check
+	}
+	kv.mu.Lock()
+	entries := []entry{}
+	for _, h := range kv.hosts {
+		e := entry{Service: service{ID: h.Name, Address: h.Address, Port: h.Port, Meta: map[string]string{"peer": h.Peer, "group": h.Group}}}
+		if h.Leaving {
+			e.Checks = append(e.Checks, check{CheckID: "_node_maintenance", Status: "critical"})
+		}
+		entries = append(entries, e)
+	}
+	kv.mu.Unlock()
+	data, _ := json.Marshal(entries)
+	ctx.SetBody(data)
+}
--- /dev/null
+++ b/fakes/plain.go
@@ -0,0 +1,87 @@
+package fakes
+
+import (
+	"encoding/json"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+func closeConn(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+// Plain is a plain service. Each call is one run, counted by its idempotency
+// key; calls that start with /crash cut all connections after the run.
+type Plain struct {
+	server
+	// Work is how long a run takes.
+	Work time.Duration
+	mu   sync.Mutex
+	runs map[string]int
+	all  int
+}
+
+// StartPlain starts the service at address.
+func StartPlain(address string, work time.Duration) (*Plain, error) {
+	p := &Plain{Work: work, runs: map[string]int{}}
+	return p, p.start(address, p.handle)
+}
+
+// Runs returns how often the call with a key ran.
+func (p *Plain) Runs(key string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.runs[key]
+}
+
+// All returns the runs by key.
+func (p *Plain) All() map[string]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := map[string]int{}
+	for k, n := range p.runs {
+		out[k] = n
+	}
+	return out
+}
+
+// Crash cuts all connections and refuses new ones for a time.
+func (p *Plain) Crash(down time.Duration) { p.crash(down) }
+
+func (p *Plain) handle(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	switch {
+	case path == "/health":
+		return
+	case path == "/fake/runs":
+		data, _ := json.Marshal(p.All())
+		ctx.SetBody(data)
+		return
+	case path == "/fake/crash":
+		go p.Crash(time.Second)
+		return
+	}
+	key := string(ctx.Request.Header.Peek("Idempotency-Key"))
+	p.mu.Lock()
+	p.all++
+	if key != "" {
+		p.runs[key]++
+	}
+	run := p.runs[key]
+	p.mu.Unlock()
+	time.Sleep(p.Work)
+	if strings.HasPrefix(path, "/crash") {
+		go p.Crash(time.Second)
+		time.Sleep(50 * time.Millisecond)
+	}
+	data, _ := json.Marshal(map[string]any{"key": key, "run": run, "path": path, "echo": string(ctx.PostBody())})
+	ctx.SetContentType("application/json")
+	ctx.SetBody(data)
+}
--- /dev/null
+++ b/fakes/server.go
@@ -0,0 +1,144 @@
+// Package fakes holds small stand-ins for the systems around cactustide: the
+// platform's key-value service, model engines and plain services. Each has
+// faults that can be switched on. The product does not import it.
+package fakes
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// server is an HTTP server that can crash and come back at the same address.
+type server struct {
+	handler fasthttp.RequestHandler
+	address string
+	mu      sync.Mutex
+	http    *fasthttp.Server
+	tracked *trackingListener
+	done    chan struct{}
+	closed  bool
+}
+
+// trackingListener remembers its connections, so that a crash can cut them.
+type trackingListener struct {
+	net.Listener
+	mu    sync.Mutex
+	conns map[net.Conn]struct{}
+}
+
+type trackedConn struct {
+	net.Conn
+	owner *trackingListener
+}
+
+// Accept remembers the connection.
+func (l *trackingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &trackedConn{Conn: conn, owner: l}
+	l.mu.Lock()
+	l.conns[c] = struct{}{}
+	l.mu.Unlock()
+	return c, nil
+}
+
+// Close forgets the connection.
+func (c *trackedConn) Close() error {
+	c.owner.mu.Lock()
+	delete(c.owner.conns, c)
+	c.owner.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// cut resets every connection, as the end of a process does.
+func (l *trackingListener) cut() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		raw := c.(*trackedConn).Conn
+		if tcp, ok := raw.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = raw.Close()
+	}
+}
+
+func (s *server) start(address string, handler fasthttp.RequestHandler) error {
+	s.handler = handler
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	s.address = listener.Addr().String()
+	s.serve(listener)
+	return nil
+}
+
+func (s *server) serve(listener net.Listener) {
+	tracked := &trackingListener{Listener: listener, conns: map[net.Conn]struct{}{}}
+	h := &fasthttp.Server{
+		Handler:            s.handler,
+		MaxRequestBodySize: 64 << 20,
+		CloseOnShutdown:    true,
+		Logger:             silent{},
+	}
+	done := make(chan struct{})
+	s.mu.Lock()
+	s.http, s.tracked, s.done = h, tracked, done
+	s.mu.Unlock()
+	go func() {
+		defer close(done)
+		_ = h.Serve(tracked)
+	}()
+}
+
+// crash cuts every connection and refuses new ones for a time.
+func (s *server) crash(down time.Duration) {
+	s.mu.Lock()
+	tracked, done := s.tracked, s.done
+	s.mu.Unlock()
+	_ = tracked.Listener.Close()
+	tracked.cut()
+	<-done
+	time.AfterFunc(down, s.reopen)
+}
+
+func (s *server) reopen() {
+	s.mu.Lock()
+	closed := s.closed
+	s.mu.Unlock()
+	if closed {
+		return
+	}
+	listener, err := net.Listen("tcp", s.address)
+	if err != nil {
+		time.AfterFunc(50*time.Millisecond, s.reopen)
+		return
+	}
+	s.serve(listener)
+}
+
+// Address returns the address that the stand-in listens on.
+func (s *server) Address() string { return s.address }
+
+// Close ends the server and its connections.
+func (s *server) Close() {
+	s.mu.Lock()
+	s.closed = true
+	tracked, done := s.tracked, s.done
+	s.mu.Unlock()
+	_ = tracked.Listener.Close()
+	tracked.cut()
+	<-done
+}
+
+// silent drops the library's log lines about cut connections.
+type silent struct{}
+
+// Printf drops the line.
+func (silent) Printf(string, ...any) {}
--- /dev/null
+++ b/meter/meter.go
@@ -0,0 +1,93 @@
+// Package meter sets up metrics and logs of a daemon.
+package meter
+
+import (
+	"io"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
+)
+
+// reportInterval is how often values reach the reporter.
+const reportInterval = time.Second
+
+// Meter is a daemon's root scope and its scrape end.
+type Meter struct {
+	Scope tally.Scope
+	// Scrape answers a scrape in the Prometheus text format.
+	Scrape fasthttp.RequestHandler
+	closer io.Closer
+}
+
+// latencyBuckets of all timers, seconds.
+var latencyBuckets = []float64{0.001, 0.005, 0.01, 0.03, 0.1, 0.3, 0.85, 2, 10, 60, 600}
+
+// New returns the metrics of a process.
+func New(process string) *Meter {
+	reporter := prometheus.NewReporter(prometheus.Options{
+		DefaultTimerType:        prometheus.HistogramTimerType,
+		DefaultHistogramBuckets: latencyBuckets,
+	})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 "cactustide",
+		Tags:                   map[string]string{"process": process},
+		CachedReporter:         reporter,
+		Separator:              prometheus.DefaultSeparator,
+		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
+	}, reportInterval)
+	return &Meter{
+		Scope:  scope,
+		Scrape: fasthttpadaptor.NewFastHTTPHandler(reporter.HTTPHandler()),
+		closer: closer,
+	}
+}
+
+// Close stops the reporting loop and waits for it.
+func (m *Meter) Close() { _ = m.closer.Close() }
+
+// Log writes short sentences with the prefix of one part of the system.
+type Log struct {
+	entry  *logrus.Entry
+	prefix string
+}
+
+// NewLog returns a log for a part, such as "agent". The level and format are
+// checked by the settings.
+func NewLog(out io.Writer, level, format, part string) *Log {
+	logger := logrus.New()
+	logger.SetOutput(out)
+	if parsed, err := logrus.ParseLevel(level); err == nil {
+		logger.SetLevel(parsed)
+	}
+	if format == "json" {
+		logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	} else {
+		logger.SetFormatter(&logrus.TextFormatter{TimestampFormat: time.RFC3339Nano, FullTimestamp: true, DisableColors: true})
+	}
+	return &Log{entry: logrus.NewEntry(logger), prefix: part + ": "}
+}
+
+// With adds a field to each line.
+func (l *Log) With(key string, value any) *Log {
+	return &Log{entry: l.entry.WithField(key, value), prefix: l.prefix}
+}
+
+// IsDebug reports whether debug lines are written.
+func (l *Log) IsDebug() bool { return l.entry.Logger.IsLevelEnabled(logrus.DebugLevel) }
+
+// Debugf logs what helps while searching a fault.
+func (l *Log) Debugf(format string, args ...any) { l.entry.Debugf(l.prefix+format, args...) }
+
+// Infof logs an event of ordinary operation.
+func (l *Log) Infof(format string, args ...any) { l.entry.Infof(l.prefix+format, args...) }
+
+// Warnf logs what an operator may have to look at.
+func (l *Log) Warnf(format string, args ...any) { l.entry.Warnf(l.prefix+format, args...) }
+
+// Errorf logs what an operator has to look at.
+func (l *Log) Errorf(format string, args ...any) { l.entry.Errorf(l.prefix+format, args...) }
--- /dev/null
+++ b/peer/peer.go
@@ -0,0 +1,277 @@
+// Package peer carries control messages between entries and agents over
+// net/rpc: one long connection for each pair. net/rpc has no deadline, so a
+// call that takes too long drops the connection.
+package peer
+
+import (
+	"crypto/subtle"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+	"google.golang.org/protobuf/proto"
+
+	"cactustide/wire"
+)
+
+// Kind tells the errors of this package apart.
+type Kind string
+
+// Kinds of errors.
+const (
+	KindListen  Kind = "listen"
+	KindDial    Kind = "dial"
+	KindTimeout Kind = "timeout"
+	KindCall    Kind = "call"
+	KindCodec   Kind = "codec"
+)
+
+// Error is the error of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error formats the operation, the kind and the cause.
+func (e *Error) Error() string {
+	return "peer: " + e.Op + ": " + string(e.Kind) + ": " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+var (
+	errTimeout = errs.New("no answer within the limit")
+	errToken   = errs.New("wrong token")
+)
+
+const rpcName = "Agent"
+
+// Envelope is the net/rpc argument and reply: a message of the schema and the
+// secret of entries and agents.
+type Envelope struct {
+	Token string
+	Data  []byte
+}
+
+// Handler answers the calls of entries.
+type Handler struct {
+	Sync   func(*wire.SyncRequest) *wire.SyncReply
+	Cancel func(*wire.CancelRequest) *wire.CancelReply
+}
+
+// Service is the net/rpc receiver. Its methods are called by net/rpc.
+type Service struct {
+	token   string
+	handler Handler
+}
+
+// Sync exchanges configuration, marks and state.
+func (s *Service) Sync(in *Envelope, out *Envelope) error {
+	var req wire.SyncRequest
+	if err := s.open(in, &req); err != nil {
+		return err
+	}
+	return seal(s.handler.Sync(&req), out)
+}
+
+// Cancel takes back a request that has not started.
+func (s *Service) Cancel(in *Envelope, out *Envelope) error {
+	var req wire.CancelRequest
+	if err := s.open(in, &req); err != nil {
+		return err
+	}
+	return seal(s.handler.Cancel(&req), out)
+}
+
+func (s *Service) open(in *Envelope, into proto.Message) error {
+	if subtle.ConstantTimeCompare([]byte(in.Token), []byte(s.token)) != 1 {
+		return errToken
+	}
+	return proto.Unmarshal(in.Data, into)
+}
+
+func seal(m proto.Message, out *Envelope) error {
+	data, err := proto.Marshal(m)
+	out.Data = data
+	return err
+}
+
+// Server accepts connections from entries.
+type Server struct {
+	listener net.Listener
+	mu       sync.Mutex
+	conns    map[net.Conn]struct{}
+	closed   bool
+	wait     sync.WaitGroup
+}
+
+// Listen starts a server at address.
+func Listen(address, token string, h Handler) (*Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, &Error{Op: "listen", Kind: KindListen, Err: err}
+	}
+	registry := rpc.NewServer()
+	if err := registry.RegisterName(rpcName, &Service{token: token, handler: h}); err != nil {
+		return nil, &Error{Op: "listen", Kind: KindListen, Err: err}
+	}
+	s := &Server{listener: listener, conns: map[net.Conn]struct{}{}}
+	s.wait.Add(1)
+	go s.accept(registry)
+	return s, nil
+}
+
+func (s *Server) accept(registry *rpc.Server) {
+	defer s.wait.Done()
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		if !s.add(conn) {
+			_ = conn.Close()
+			return
+		}
+		go func() {
+			defer s.wait.Done()
+			registry.ServeConn(conn)
+			s.remove(conn)
+		}()
+	}
+}
+
+func (s *Server) add(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.conns[conn] = struct{}{}
+	s.wait.Add(1)
+	return true
+}
+
+func (s *Server) remove(conn net.Conn) {
+	s.mu.Lock()
+	delete(s.conns, conn)
+	s.mu.Unlock()
+}
+
+// Close stops accepting, closes the connections and waits for their calls.
+func (s *Server) Close() {
+	_ = s.listener.Close()
+	s.mu.Lock()
+	s.closed = true
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+	s.mu.Unlock()
+	s.wait.Wait()
+}
+
+// Client calls one agent over one connection, opened at the first call.
+type Client struct {
+	address string
+	token   string
+	limit   time.Duration
+	mu      sync.Mutex
+	rpc     *rpc.Client
+}
+
+// NewClient returns a client of the agent at address. Each call takes at most
+// limit.
+func NewClient(address, token string, limit time.Duration) *Client {
+	return &Client{address: address, token: token, limit: limit}
+}
+
+// Sync exchanges configuration, marks and state.
+func (c *Client) Sync(req *wire.SyncRequest) (*wire.SyncReply, error) {
+	var out wire.SyncReply
+	err := c.call(rpcName+".Sync", req, &out)
+	return &out, err
+}
+
+// Cancel takes back a request that has not started.
+func (c *Client) Cancel(req *wire.CancelRequest) (*wire.CancelReply, error) {
+	var out wire.CancelReply
+	err := c.call(rpcName+".Cancel", req, &out)
+	return &out, err
+}
+
+func (c *Client) call(method string, req, out proto.Message) error {
+	conn, err := c.connect()
+	if err != nil {
+		return &Error{Op: method, Kind: KindDial, Err: err}
+	}
+	data, err := proto.Marshal(req)
+	if err != nil {
+		return &Error{Op: method, Kind: KindCodec, Err: err}
+	}
+	reply := &Envelope{}
+	call := conn.Go(method, &Envelope{Token: c.token, Data: data}, reply, make(chan *rpc.Call, 1))
+	timer := time.NewTimer(c.limit)
+	defer timer.Stop()
+	select {
+	case <-call.Done:
+	case <-timer.C:
+		c.drop(conn)
+		return &Error{Op: method, Kind: KindTimeout, Err: errTimeout}
+	}
+	if call.Error != nil {
+		if _, ok := call.Error.(rpc.ServerError); !ok {
+			c.drop(conn)
+		}
+		return &Error{Op: method, Kind: KindCall, Err: call.Error}
+	}
+	if err := proto.Unmarshal(reply.Data, out); err != nil {
+		return &Error{Op: method, Kind: KindCodec, Err: err}
+	}
+	return nil
+}
+
+// connect dials without the lock: a slow dial must not block other callers.
+func (c *Client) connect() (*rpc.Client, error) {
+	c.mu.Lock()
+	found := c.rpc
+	c.mu.Unlock()
+	if found != nil {
+		return found, nil
+	}
+	conn, err := net.DialTimeout("tcp", c.address, c.limit)
+	if err != nil {
+		return nil, err
+	}
+	fresh := rpc.NewClient(conn)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.rpc != nil {
+		_ = fresh.Close()
+		return c.rpc, nil
+	}
+	c.rpc = fresh
+	return fresh, nil
+}
+
+func (c *Client) drop(conn *rpc.Client) {
+	c.mu.Lock()
+	if c.rpc == conn {
+		c.rpc = nil
+	}
+	c.mu.Unlock()
+	_ = conn.Close()
+}
+
+// Close closes the connection; calls in progress return an error.
+func (c *Client) Close() {
+	c.mu.Lock()
+	conn := c.rpc
+	c.rpc = nil
+	c.mu.Unlock()
+	if conn != nil {
+		_ = conn.Close()
+	}
+}
--- /dev/null
+++ b/route/table.go
@@ -0,0 +1,317 @@
+// Package route decides which agent gets a request. It keeps what the agents
+// last said of themselves and corrects it by what this entry sent since. It
+// does no I/O and reads no clock.
+package route
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cactustide/config"
+)
+
+const (
+	// staleAfter is the age at which an agent's state is no longer trusted.
+	staleAfter = 3 * time.Second
+	// stragglerFactor is the ratio to the median pace of its model above which
+	// an upstream counts as a straggler.
+	stragglerFactor = 2.0
+	// probeEvery lets one request in this many go to a straggler, so that its
+	// recovery is seen.
+	probeEvery = 64
+	// sample is the number of candidates compared for a request.
+	sample = 2
+)
+
+// Agent is what an agent last said of itself.
+type Agent struct {
+	Name        string
+	Incarnation uint64
+	Centre      string
+	Model       string
+	Service     string
+	Slots       int
+	Running     int
+	Queued      [config.Tiers]int
+	// Room is the number of free places in the queue.
+	Room    int
+	Drain   bool
+	Healthy bool
+	// Pace is the smoothed time for each token; 0 means unknown.
+	Pace time.Duration
+}
+
+// Want is what a request needs of an agent.
+type Want struct {
+	Model   string
+	Service string
+	Tier    int
+	Centre  string
+	// Prefix is the hash of the request's first part; 0 means none.
+	Prefix uint64
+	// Avoid names agents that refused or failed this request.
+	Avoid map[string]bool
+}
+
+type member struct {
+	Agent
+	seen time.Time
+	// sent counts the requests of this entry that the state does not show yet.
+	sent    int
+	leaving bool
+	skipped int
+}
+
+// Table holds the agents known to an entry.
+type Table struct {
+	mu     sync.Mutex
+	agents map[string]*member
+}
+
+// New returns an empty table.
+func New() *Table {
+	return &Table{agents: map[string]*member{}}
+}
+
+// Update records what an agent said. A lower incarnation than one already
+// seen is a replaced process, and is ignored.
+func (t *Table) Update(now time.Time, a Agent) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m, ok := t.agents[a.Name]
+	if !ok {
+		m = &member{}
+		t.agents[a.Name] = m
+	}
+	if a.Incarnation < m.Incarnation {
+		return false
+	}
+	m.Agent = a
+	m.seen = now
+	m.sent = 0
+	return true
+}
+
+// SetLeaving records which agents the host list calls leaving.
+func (t *Table) SetLeaving(leaving map[string]bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for name, m := range t.agents {
+		m.leaving = leaving[name]
+	}
+}
+
+// Lose records that an agent did not answer.
+func (t *Table) Lose(name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if m, ok := t.agents[name]; ok {
+		m.seen = time.Time{}
+	}
+}
+
+// List returns the known agents by name, and when each was last heard.
+func (t *Table) List() ([]Agent, []time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	names := make([]string, 0, len(t.agents))
+	for name := range t.agents {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	agents := make([]Agent, 0, len(names))
+	seen := make([]time.Time, 0, len(names))
+	for _, name := range names {
+		agents = append(agents, t.agents[name].Agent)
+		seen = append(seen, t.agents[name].seen)
+	}
+	return agents, seen
+}
+
+// Serves reports whether any known agent serves the model or service.
+func (t *Table) Serves(w Want) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, m := range t.agents {
+		if m.Model == w.Model && m.Service == w.Service {
+			return true
+		}
+	}
+	return false
+}
+
+// Choose picks an agent for a request, or reports that none would take it.
+// random returns a number from 0 to n-1.
+//
+// Agents in the own data centre come first, then those that would admit the
+// tier. The prefix's usual agent (highest rendezvous hash) is kept while it has
+// a free slot; otherwise the less loaded of two random candidates is taken
+// (Mitzenmacher, "The Power of Two Choices", 2001).
+func (t *Table) Choose(now time.Time, w Want, random func(n int) int) (string, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	candidates := t.candidates(now, w)
+	if len(candidates) == 0 {
+		return "", false
+	}
+	candidates = preferCentre(candidates, w)
+	candidates = skipStragglers(candidates)
+	m := usual(candidates, w)
+	if m == nil {
+		m = lessLoaded(candidates, w.Tier, random)
+	}
+	m.sent++
+	return m.Name, true
+}
+
+// candidates returns the agents that may run the request, those which would
+// admit its tier if there are any.
+func (t *Table) candidates(now time.Time, w Want) []*member {
+	var all, admitting []*member
+	for _, m := range t.agents {
+		if !m.mayRun(now, w) {
+			continue
+		}
+		all = append(all, m)
+		if m.admits(w.Tier) {
+			admitting = append(admitting, m)
+		}
+	}
+	if len(admitting) > 0 {
+		all = admitting
+	}
+	// Map order differs between runs; sorted candidates make choices repeatable.
+	slices.SortFunc(all, func(a, b *member) int { return cmp.Compare(a.Name, b.Name) })
+	return all
+}
+
+func (m *member) mayRun(now time.Time, w Want) bool {
+	return m.Model == w.Model && m.Service == w.Service &&
+		!m.Drain && !m.leaving && m.Healthy && !w.Avoid[m.Name] &&
+		now.Sub(m.seen) < staleAfter
+}
+
+// admits reports whether the agent has room, or lower-tier work to evict.
+func (m *member) admits(tier int) bool {
+	if m.Room > m.sent || m.Running+m.sent < m.Slots {
+		return true
+	}
+	for t := tier + 1; t < config.Tiers; t++ {
+		if m.Queued[t] > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// load returns the work before a request of the tier, in units of slots,
+// weighted by the upstream's pace.
+func (m *member) load(tier int, median time.Duration) float64 {
+	ahead := m.Running + m.sent
+	for t := 0; t <= tier && t < config.Tiers; t++ {
+		ahead += m.Queued[t]
+	}
+	load := float64(ahead+1) / float64(max(1, m.Slots))
+	if m.Pace > 0 && median > 0 {
+		load *= float64(m.Pace) / float64(median)
+	}
+	return load
+}
+
+// preferCentre keeps the agents of the own data centre while one of them has a
+// free slot.
+func preferCentre(candidates []*member, w Want) []*member {
+	var near []*member
+	free := false
+	for _, m := range candidates {
+		if m.Centre == w.Centre {
+			near = append(near, m)
+			free = free || m.Running+m.sent < m.Slots
+		}
+	}
+	if free {
+		return near
+	}
+	return candidates
+}
+
+// skipStragglers leaves out upstreams much slower than the median of the
+// candidates, but for one request in probeEvery.
+func skipStragglers(candidates []*member) []*member {
+	median := medianPace(candidates)
+	if median == 0 {
+		return candidates
+	}
+	var fast []*member
+	for _, m := range candidates {
+		if float64(m.Pace) <= stragglerFactor*float64(median) {
+			fast = append(fast, m)
+			continue
+		}
+		m.skipped++
+		if m.skipped >= probeEvery {
+			m.skipped = 0
+			return []*member{m}
+		}
+	}
+	return fast
+}
+
+func medianPace(candidates []*member) time.Duration {
+	var paces []time.Duration
+	for _, m := range candidates {
+		if m.Pace > 0 {
+			paces = append(paces, m.Pace)
+		}
+	}
+	if len(paces) == 0 {
+		return 0
+	}
+	slices.Sort(paces)
+	return paces[(len(paces)-1)/2]
+}
+
+// usual returns the prefix's usual agent if it has a free slot.
+func usual(candidates []*member, w Want) *member {
+	if w.Prefix == 0 {
+		return nil
+	}
+	var found *member
+	var best uint64
+	for _, m := range candidates {
+		score := rendezvous(w.Prefix, m.Name)
+		if found == nil || score > best {
+			found, best = m, score
+		}
+	}
+	if found.Running+found.sent >= found.Slots {
+		return nil
+	}
+	return found
+}
+
+// rendezvous is the highest-random-weight score of an agent for a key.
+func rendezvous(key uint64, name string) uint64 {
+	h := xxhash.Sum64String(name) ^ key
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
+
+func lessLoaded(candidates []*member, tier int, random func(n int) int) *member {
+	median := medianPace(candidates)
+	var found *member
+	for range sample {
+		m := candidates[random(len(candidates))]
+		if found == nil || m.load(tier, median) < found.load(tier, median) {
+			found = m
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/sched/floor.go
@@ -0,0 +1,102 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+
+	"cactustide/config"
+)
+
+// dueClass is a class with work and a floor.
+type dueClass struct {
+	name string
+	tier int
+	// period is the longest distance between two starts.
+	period int
+	// left is the number of starts, this one included, within which it must
+	// start.
+	left int
+}
+
+// nextByFloor returns the head request of a class that must start now to keep
+// its floor: the most urgent one, if putting it off by one start would leave
+// too few starts for all that is due within some horizon. While the floors'
+// density is at most one half (config.MaxFloors) this keeps every gap within its
+// period; that density is the schedulable bound of Holte et al., "The Pinwheel:
+// A Real-Time Scheduling Problem", 1989.
+func (s *Sched) nextByFloor() *Request {
+	due := s.dueClasses()
+	if len(due) == 0 || !isTight(due) {
+		return nil
+	}
+	first := due[0]
+	return s.nextOf(s.tiers[first.tier], func(f *flow) bool { return f.key.class == first.name })
+}
+
+// isTight reports whether the starts due within some horizon fill it, so that
+// none of its starts may go to anything else.
+func isTight(due []dueClass) bool {
+	last := due[len(due)-1].left
+	for _, d := range due {
+		for horizon := d.left; horizon <= last; horizon += d.period {
+			if demand(due, horizon) >= horizon {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// demand returns the number of starts due within a horizon.
+func demand(due []dueClass, horizon int) int {
+	total := 0
+	for _, d := range due {
+		if d.left <= horizon {
+			total += 1 + (horizon-d.left)/d.period
+		}
+	}
+	return total
+}
+
+// dueClasses lists the classes that have work which may start and a floor.
+func (s *Sched) dueClasses() []dueClass {
+	var due []dueClass
+	for name, cs := range s.classes {
+		period := config.Period(s.policy.Classes[name].Floor)
+		if cs.queued == 0 || period == 0 || !s.mayStart(name) {
+			continue
+		}
+		due = append(due, dueClass{name: name, tier: s.tierOf(name), period: period, left: period - cs.gap})
+	}
+	slices.SortFunc(due, func(a, b dueClass) int {
+		return cmp.Or(cmp.Compare(a.left, b.left), cmp.Compare(a.tier, b.tier), cmp.Compare(a.name, b.name))
+	})
+	return due
+}
+
+// mayStart reports whether any flow of the class may start now.
+func (s *Sched) mayStart(class string) bool {
+	for _, f := range s.tiers[s.tierOf(class)].flows {
+		if f.key.class == class && s.eligible(f) {
+			return true
+		}
+	}
+	return false
+}
+
+// countStart resets the gap of the started class and widens the gap of every
+// other class that has work.
+func (s *Sched) countStart(started string) {
+	for name, cs := range s.classes {
+		switch {
+		case name == started:
+			cs.gap = 0
+		case cs.queued > 0:
+			cs.gap++
+		}
+	}
+}
+
+func sortBySeq(requests []*Request) {
+	slices.SortFunc(requests, func(a, b *Request) int { return cmp.Compare(a.seq, b.seq) })
+}
--- /dev/null
+++ b/sched/sched.go
@@ -0,0 +1,445 @@
+// Package sched decides which requests an upstream runs next, and which are
+// refused or evicted from its queue. It does no I/O, reads no clock and takes
+// no locks: its owner serialises the calls.
+//
+// Order: strictly by tier, except that a class below its guaranteed floor of
+// starts goes next. Within a tier, partners share in proportion to their
+// shares by a virtual token counter (after Sheng et al., "Fairness in Serving
+// Large Language Models", OSDI 2024): the backlogged partner with the least
+// tokens for its share goes next. Eviction runs in the reverse order.
+package sched
+
+import (
+	"container/list"
+	"time"
+
+	"cactustide/config"
+)
+
+// defaultTokens is the expected output length when a request carries none.
+const defaultTokens = 1
+
+// lengthDecay is the weight that the sums of lengths keep at each request.
+const lengthDecay = 0.999
+
+// Class is the part of a class that scheduling needs.
+type Class struct {
+	Tier  int
+	Floor float64
+	Cap   float64
+}
+
+// Policy is what an agent schedules by.
+type Policy struct {
+	// Slots is how many requests the upstream runs at once.
+	Slots int
+	// Queue is how many requests wait at most.
+	Queue int
+	// Classes by name. Requests of an unknown class go to the lowest tier.
+	Classes map[string]Class
+	// Shares by partner. A partner without one has a share of 1.
+	Shares map[string]float64
+}
+
+// Request is one queued or running request.
+type Request struct {
+	ID      string
+	Class   string
+	Partner string
+	// Tokens is the expected output length.
+	Tokens float64
+	// Deadline is when the request leaves the queue unrun; zero means never.
+	Deadline time.Time
+	// Suspect requests run only when no other suspect does.
+	Suspect bool
+
+	seq     uint64
+	tier    int
+	charged float64
+	element *list.Element
+	flow    *flow
+}
+
+// Tier returns the tier the request was queued or started in.
+func (r *Request) Tier() int { return r.tier }
+
+// flow is the queue of one partner's requests in one class.
+type flow struct {
+	key      flowKey
+	requests *list.List
+}
+
+type flowKey struct {
+	partner string
+	class   string
+	suspect bool
+}
+
+// tierState holds the flows and token counters of one tier.
+type tierState struct {
+	flows   map[flowKey]*flow
+	counter map[string]float64
+	backlog map[string]int
+	virtual float64
+	queued  int
+	// lengths and squares are decayed sums over finished requests.
+	lengths float64
+	squares float64
+}
+
+// classState counts a class's queue, slots and starts since its last one.
+type classState struct {
+	queued  int
+	running int
+	gap     int
+}
+
+// Sched is the queue and the slots of one upstream.
+type Sched struct {
+	policy   Policy
+	tiers    [config.Tiers]*tierState
+	classes  map[string]*classState
+	waiting  map[string]*Request
+	running  map[string]*Request
+	suspects int
+	seq      uint64
+}
+
+// New returns an empty scheduler.
+func New(p Policy) *Sched {
+	s := &Sched{
+		policy:  p,
+		classes: map[string]*classState{},
+		waiting: map[string]*Request{},
+		running: map[string]*Request{},
+	}
+	for i := range s.tiers {
+		s.tiers[i] = &tierState{
+			flows:   map[flowKey]*flow{},
+			counter: map[string]float64{},
+			backlog: map[string]int{},
+		}
+	}
+	return s
+}
+
+// SetPolicy replaces the policy. Queued requests move to the tier that their
+// class has now; none is dropped, even if the queue shrank.
+func (s *Sched) SetPolicy(p Policy) {
+	s.policy = p
+	moved := make([]*Request, 0, len(s.waiting))
+	for _, r := range s.waiting {
+		if s.tierOf(r.Class) != r.tier {
+			moved = append(moved, r)
+		}
+	}
+	for _, r := range moved {
+		s.remove(r)
+	}
+	sortBySeq(moved)
+	for _, r := range moved {
+		s.insert(r)
+	}
+}
+
+// Policy returns the policy in force.
+func (s *Sched) Policy() Policy { return s.policy }
+
+// Queued returns the number of queued requests of a tier.
+func (s *Sched) Queued(tier int) int { return s.tiers[tier].queued }
+
+// Waiting returns the number of queued requests.
+func (s *Sched) Waiting() int { return len(s.waiting) }
+
+// Running returns the number of running requests.
+func (s *Sched) Running() int { return len(s.running) }
+
+// Room returns the number of free places in the queue.
+func (s *Sched) Room() int { return max(0, s.policy.Queue-len(s.waiting)) }
+
+// Offer queues r. If the queue was full it returns the request that had to
+// leave: the worst one, which may be r itself.
+func (s *Sched) Offer(r *Request) (victim *Request) {
+	s.seq++
+	r.seq = s.seq
+	s.insert(r)
+	if len(s.waiting) <= s.policy.Queue || s.hasFreeSlot(r) {
+		return nil
+	}
+	victim = s.worst()
+	s.remove(victim)
+	return victim
+}
+
+// hasFreeSlot reports whether r would start at once, so that the bound of the
+// queue does not concern it.
+func (s *Sched) hasFreeSlot(r *Request) bool {
+	return len(s.waiting) == 1 && len(s.running) < s.policy.Slots && s.eligible(r.flow)
+}
+
+// worst returns the request at the end of the order: lowest tier, then the
+// partner with the most tokens for its share, then the newest.
+func (s *Sched) worst() *Request {
+	for t := config.Tiers - 1; t >= 0; t-- {
+		ts := s.tiers[t]
+		var found *Request
+		for _, f := range ts.flows {
+			last := f.requests.Back().Value.(*Request)
+			if found == nil || s.isWorse(ts, last, found) {
+				found = last
+			}
+		}
+		if found != nil {
+			return found
+		}
+	}
+	return nil
+}
+
+// isWorse counts the queued backlog as well, so that of two partners with
+// equal counters the one with the longer queue yields.
+func (s *Sched) isWorse(ts *tierState, a, b *Request) bool {
+	ca := ts.counter[a.Partner] + float64(ts.backlog[a.Partner])*defaultTokens/s.share(a.Partner)
+	cb := ts.counter[b.Partner] + float64(ts.backlog[b.Partner])*defaultTokens/s.share(b.Partner)
+	if a.Partner != b.Partner && ca != cb {
+		return ca > cb
+	}
+	return a.seq > b.seq
+}
+
+// Next takes the next request to start, or nil if no slot is free or no
+// queued request may start.
+func (s *Sched) Next() *Request {
+	if len(s.running) >= s.policy.Slots {
+		return nil
+	}
+	r := s.nextByFloor()
+	if r == nil {
+		r = s.nextByTier()
+	}
+	if r == nil {
+		return nil
+	}
+	s.remove(r)
+	s.start(r)
+	return r
+}
+
+// nextByTier returns the head request of the highest tier that may start.
+func (s *Sched) nextByTier() *Request {
+	for _, ts := range s.tiers {
+		if r := s.nextOf(ts, func(*flow) bool { return true }); r != nil {
+			return r
+		}
+	}
+	return nil
+}
+
+// nextOf returns the head of the flow whose partner has the smallest counter.
+func (s *Sched) nextOf(ts *tierState, use func(*flow) bool) *Request {
+	if ts.queued == 0 {
+		return nil
+	}
+	var found *Request
+	for _, f := range ts.flows {
+		if !use(f) || !s.eligible(f) {
+			continue
+		}
+		head := f.requests.Front().Value.(*Request)
+		if found == nil || s.isBefore(ts, head, found) {
+			found = head
+		}
+	}
+	return found
+}
+
+// isBefore compares what the partners will have had for their shares halfway
+// through their next request. Without the second part, a partner with a small
+// share would always be ahead by the half of a long request.
+func (s *Sched) isBefore(ts *tierState, a, b *Request) bool {
+	if a.Partner == b.Partner {
+		return a.seq < b.seq
+	}
+	ra := ts.counter[a.Partner] + ts.excess()/s.share(a.Partner)
+	rb := ts.counter[b.Partner] + ts.excess()/s.share(b.Partner)
+	if ra != rb {
+		return ra < rb
+	}
+	return a.seq < b.seq
+}
+
+// excess returns the mean part of the tier's requests that has run at a moment
+// chosen at random: the mean square of the lengths over twice their mean. Long
+// requests weigh more, because they run longer.
+func (ts *tierState) excess() float64 {
+	if ts.lengths == 0 {
+		return 0
+	}
+	return ts.squares / (2 * ts.lengths)
+}
+
+// learn adds a finished request's length to the decayed sums.
+func (ts *tierState) learn(tokens float64) {
+	ts.lengths = ts.lengths*lengthDecay + tokens
+	ts.squares = ts.squares*lengthDecay + tokens*tokens
+}
+
+// eligible reports whether the head of a flow may start now.
+func (s *Sched) eligible(f *flow) bool {
+	if f.key.suspect && s.suspects > 0 {
+		return false
+	}
+	return s.class(f.key.class).running < s.capOf(f.key.class)
+}
+
+// capOf returns how many slots a class may hold: at least one.
+func (s *Sched) capOf(class string) int {
+	fraction := s.policy.Classes[class].Cap
+	if fraction <= 0 || fraction >= 1 {
+		return s.policy.Slots
+	}
+	return max(1, int(fraction*float64(s.policy.Slots)))
+}
+
+// start moves r into a slot and charges its expected tokens.
+func (s *Sched) start(r *Request) {
+	s.running[r.ID] = r
+	if r.Suspect {
+		s.suspects++
+	}
+	ts := s.tiers[r.tier]
+	ts.virtual = max(ts.virtual, ts.counter[r.Partner])
+	s.class(r.Class).running++
+	if r.Tokens <= 0 {
+		r.Tokens = defaultTokens
+	}
+	s.setCharge(r, r.Tokens)
+	s.countStart(r.Class)
+}
+
+// Charge raises what a running request has cost so far, in tokens.
+func (s *Sched) Charge(id string, tokens float64) {
+	r, ok := s.running[id]
+	if ok && tokens > r.charged {
+		s.setCharge(r, tokens)
+	}
+}
+
+func (s *Sched) setCharge(r *Request, tokens float64) {
+	s.tiers[r.tier].counter[r.Partner] += (tokens - r.charged) / s.share(r.Partner)
+	r.charged = tokens
+}
+
+// Finish frees the slot of a running request and corrects its charge to the
+// tokens that it really took.
+func (s *Sched) Finish(id string, tokens float64) {
+	r, ok := s.running[id]
+	if !ok {
+		return
+	}
+	delete(s.running, id)
+	if r.Suspect {
+		s.suspects--
+	}
+	s.class(r.Class).running--
+	s.tiers[r.tier].learn(tokens)
+	s.setCharge(r, tokens)
+}
+
+// Cancel removes a queued request and reports whether it was still queued.
+func (s *Sched) Cancel(id string) bool {
+	r, ok := s.waiting[id]
+	if ok {
+		s.remove(r)
+	}
+	return ok
+}
+
+// Expire removes and returns the queued requests whose deadline has passed.
+func (s *Sched) Expire(now time.Time) []*Request {
+	var out []*Request
+	for _, r := range s.waiting {
+		if !r.Deadline.IsZero() && !now.Before(r.Deadline) {
+			out = append(out, r)
+		}
+	}
+	for _, r := range out {
+		s.remove(r)
+	}
+	sortBySeq(out)
+	return out
+}
+
+// Drain removes and returns every queued request.
+func (s *Sched) Drain() []*Request {
+	out := make([]*Request, 0, len(s.waiting))
+	for _, r := range s.waiting {
+		out = append(out, r)
+	}
+	for _, r := range out {
+		s.remove(r)
+	}
+	sortBySeq(out)
+	return out
+}
+
+func (s *Sched) insert(r *Request) {
+	r.tier = s.tierOf(r.Class)
+	ts := s.tiers[r.tier]
+	key := flowKey{partner: r.Partner, class: r.Class, suspect: r.Suspect}
+	f, ok := ts.flows[key]
+	if !ok {
+		f = &flow{key: key, requests: list.New()}
+		ts.flows[key] = f
+	}
+	if ts.backlog[r.Partner] == 0 {
+		// An idle partner does not save up its unused share.
+		ts.counter[r.Partner] = max(ts.counter[r.Partner], ts.virtual)
+	}
+	r.flow = f
+	r.element = f.requests.PushBack(r)
+	ts.backlog[r.Partner]++
+	ts.queued++
+	s.waiting[r.ID] = r
+	s.class(r.Class).queued++
+}
+
+func (s *Sched) remove(r *Request) {
+	ts := s.tiers[r.tier]
+	r.flow.requests.Remove(r.element)
+	if r.flow.requests.Len() == 0 {
+		delete(ts.flows, r.flow.key)
+	}
+	ts.backlog[r.Partner]--
+	ts.queued--
+	delete(s.waiting, r.ID)
+	cs := s.class(r.Class)
+	cs.queued--
+	if cs.queued == 0 {
+		cs.gap = 0
+	}
+}
+
+func (s *Sched) class(name string) *classState {
+	cs, ok := s.classes[name]
+	if !ok {
+		cs = &classState{}
+		s.classes[name] = cs
+	}
+	return cs
+}
+
+func (s *Sched) tierOf(class string) int {
+	c, ok := s.policy.Classes[class]
+	if !ok {
+		return config.Tiers - 1
+	}
+	return c.Tier
+}
+
+func (s *Sched) share(partner string) float64 {
+	if share := s.policy.Shares[partner]; share > 0 {
+		return share
+	}
+	return 1
+}
--- /dev/null
+++ b/store/store.go
@@ -0,0 +1,292 @@
+// Package store is the client of the platform's key-value service. It speaks
+// the Consul HTTP interface: /v1/kv with ?cas= and blocking reads, and
+// /v1/health/service for the list of hosts. No call is ever resent by the
+// library, because a resent write could take effect twice.
+package store
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"github.com/zeebo/errs"
+)
+
+// Kind tells the errors of this package apart.
+type Kind string
+
+// Kinds of errors.
+const (
+	// KindUnreached means that the call was certainly not carried out.
+	KindUnreached Kind = "unreached"
+	// KindUnknown means that a write may have taken effect.
+	KindUnknown Kind = "unknown"
+	// KindRefused means that the service answered with an error.
+	KindRefused Kind = "refused"
+)
+
+// Error is the error of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error formats the operation, the kind and the cause.
+func (e *Error) Error() string {
+	return "store: " + e.Op + ": " + string(e.Kind) + ": " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// CallTimeout bounds a call that does not wait for a change.
+const CallTimeout = 2 * time.Second
+
+const (
+	maxConns    = 64
+	waitMargin  = 5 * time.Second
+	pathKV      = "/v1/kv/"
+	pathService = "/v1/health/service/"
+)
+
+// Pair is a key with its value and version.
+type Pair struct {
+	Key   string
+	Value []byte
+	// Version is the ModifyIndex of the key; 0 means absent.
+	Version uint64
+}
+
+// Host is one entry of the platform's list of hosts.
+type Host struct {
+	Name   string
+	Listen string
+	Peer   string
+	// Group is the model or service that the host serves.
+	Group   string
+	Leaving bool
+}
+
+// Client calls one key-value service. The fields are seams for tests and for
+// another platform's protocol.
+type Client struct {
+	// Get reads a key; a Pair with version 0 means absent.
+	Get func(key string) (Pair, error)
+	// Watch waits until the key's version differs from index, or wait is over.
+	Watch func(key string, index uint64, wait time.Duration) (Pair, uint64, error)
+	// List reads all keys under a prefix.
+	List func(prefix string) ([]Pair, error)
+	// Swap writes a value if the key's version still holds; 0 creates it.
+	Swap func(key string, value []byte, version uint64) (bool, error)
+	// Put writes a value whatever its version.
+	Put func(key string, value []byte) error
+	// Hosts lists the hosts of a service.
+	Hosts func(service string) ([]Host, error)
+	// OnCall is told of each call and whether it failed.
+	OnCall func(op string, failed bool)
+}
+
+type consul struct {
+	address string
+	http    *fasthttp.Client
+	onCall  func(op string, failed bool)
+}
+
+// New returns a client of the service at address (host:port).
+func New(address string) *Client {
+	c := &Client{}
+	h := &consul{
+		address: address,
+		http: &fasthttp.Client{
+			NoDefaultUserAgentHeader:  true,
+			MaxConnsPerHost:           maxConns,
+			MaxIdemponentCallAttempts: 1,
+			RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) {
+				return false, false
+			},
+		},
+		onCall: func(op string, failed bool) {
+			if c.OnCall != nil {
+				c.OnCall(op, failed)
+			}
+		},
+	}
+	c.Get = h.get
+	c.Watch = h.watch
+	c.List = h.list
+	c.Swap = h.swap
+	c.Put = h.put
+	c.Hosts = h.hosts
+	return c
+}
+
+// answer is what a call returned, copied out of the library's buffers.
+type answer struct {
+	status int
+	index  uint64
+	body   []byte
+}
+
+func (h *consul) call(op, method, path string, query url.Values, body []byte, limit time.Duration) (answer, error) {
+	req := fasthttp.AcquireRequest()
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	target := "http://" + h.address + path
+	if len(query) > 0 {
+		target += "?" + query.Encode()
+	}
+	req.SetRequestURI(target)
+	req.Header.SetMethod(method)
+	req.SetBody(body)
+	err := h.http.DoTimeout(req, resp, limit)
+	h.onCall(op, err != nil || resp.StatusCode() >= fasthttp.StatusInternalServerError)
+	if err != nil {
+		return answer{}, &Error{Op: op, Kind: kindOf(err), Err: err}
+	}
+	out := answer{status: resp.StatusCode(), body: append([]byte(nil), resp.Body()...)}
+	out.index, _ = strconv.ParseUint(string(resp.Header.Peek("X-Consul-Index")), 10, 64)
+	if out.status >= fasthttp.StatusBadRequest && out.status != fasthttp.StatusNotFound {
+		// A 5xx may come from a proxy after the write took effect.
+		return out, &Error{Op: op, Kind: refusal(out.status), Err: errs.New("status %d: %s", out.status, out.body)}
+	}
+	return out, nil
+}
+
+func refusal(status int) Kind {
+	if status >= fasthttp.StatusInternalServerError {
+		return KindUnknown
+	}
+	return KindRefused
+}
+
+// kindOf sorts transport errors: only a failed dial certainly did nothing.
+func kindOf(err error) Kind {
+	if strings.Contains(err.Error(), "connection refused") || errs.IsFunc(err, isDialTimeout) {
+		return KindUnreached
+	}
+	return KindUnknown
+}
+
+func isDialTimeout(err error) bool { return err == fasthttp.ErrDialTimeout }
+
+// kvEntry is one element of the interface's JSON answer.
+type kvEntry struct {
+	Key         string
+	Value       string
+	ModifyIndex uint64
+}
+
+func decodePairs(op string, body []byte) ([]Pair, error) {
+	var entries []kvEntry
+	if err := json.Unmarshal(body, &entries); err != nil {
+		return nil, &Error{Op: op, Kind: KindRefused, Err: err}
+	}
+	pairs := make([]Pair, 0, len(entries))
+	for _, e := range entries {
+		value, err := base64.StdEncoding.DecodeString(e.Value)
+		if err != nil {
+			return nil, &Error{Op: op, Kind: KindRefused, Err: err}
+		}
+		pairs = append(pairs, Pair{Key: e.Key, Value: value, Version: e.ModifyIndex})
+	}
+	return pairs, nil
+}
+
+func (h *consul) read(op, key string, query url.Values, limit time.Duration) ([]Pair, uint64, error) {
+	out, err := h.call(op, fasthttp.MethodGet, pathKV+key, query, nil, limit)
+	if err != nil {
+		return nil, 0, err
+	}
+	if out.status == fasthttp.StatusNotFound {
+		return nil, out.index, nil
+	}
+	pairs, err := decodePairs(op, out.body)
+	return pairs, out.index, err
+}
+
+func (h *consul) get(key string) (Pair, error) {
+	pairs, _, err := h.read("get", key, nil, CallTimeout)
+	if err != nil || len(pairs) == 0 {
+		return Pair{Key: key}, err
+	}
+	return pairs[0], nil
+}
+
+func (h *consul) watch(key string, index uint64, wait time.Duration) (Pair, uint64, error) {
+	query := url.Values{
+		"index": {strconv.FormatUint(index, 10)},
+		"wait":  {strconv.FormatInt(int64(wait/time.Millisecond), 10) + "ms"},
+	}
+	pairs, seen, err := h.read("watch", key, query, wait+waitMargin)
+	if err != nil || len(pairs) == 0 {
+		return Pair{Key: key}, seen, err
+	}
+	return pairs[0], seen, nil
+}
+
+func (h *consul) list(prefix string) ([]Pair, error) {
+	pairs, _, err := h.read("list", prefix, url.Values{"recurse": {"true"}}, CallTimeout)
+	return pairs, err
+}
+
+func (h *consul) swap(key string, value []byte, version uint64) (bool, error) {
+	query := url.Values{"cas": {strconv.FormatUint(version, 10)}}
+	out, err := h.call("swap", fasthttp.MethodPut, pathKV+key, query, value, CallTimeout)
+	if err != nil {
+		return false, err
+	}
+	return strings.TrimSpace(string(out.body)) == "true", nil
+}
+
+func (h *consul) put(key string, value []byte) error {
+	_, err := h.call("put", fasthttp.MethodPut, pathKV+key, nil, value, CallTimeout)
+	return err
+}
+
+// healthEntry is one element of the interface's list of a service's hosts.
+type healthEntry struct {
+	Service struct {
+		ID      string
+		Address string
+		Port    int
+		Meta    map[string]string
+	}
+	Checks []struct {
+		CheckID string
+		Status  string
+	}
+}
+
+func (h *consul) hosts(service string) ([]Host, error) {
+	out, err := h.call("hosts", fasthttp.MethodGet, pathService+service, nil, nil, CallTimeout)
+	if err != nil {
+		return nil, err
+	}
+	var entries []healthEntry
+	if err := json.Unmarshal(out.body, &entries); err != nil {
+		return nil, &Error{Op: "hosts", Kind: KindRefused, Err: err}
+	}
+	hosts := make([]Host, 0, len(entries))
+	for _, e := range entries {
+		host := Host{
+			Name:   e.Service.ID,
+			Listen: e.Service.Address + ":" + strconv.Itoa(e.Service.Port),
+			Peer:   e.Service.Meta["peer"],
+			Group:  e.Service.Meta["group"],
+		}
+		for _, check := range e.Checks {
+			// Maintenance mode is how the interface says that a host is leaving.
+			if strings.Contains(check.CheckID, "_maintenance") {
+				host.Leaving = true
+			}
+		}
+		hosts = append(hosts, host)
+	}
+	return hosts, nil
+}
--- /dev/null
+++ b/usage/usage.go
@@ -0,0 +1,135 @@
+// Package usage counts requests and tokens by partner, team, class and
+// outcome. Every request ends in exactly one outcome.
+package usage
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Outcome is how a request ended.
+type Outcome string
+
+// Outcomes.
+const (
+	// Done: the whole answer reached the caller.
+	Done Outcome = "done"
+	// Refused: the caller was told that the request was not run.
+	Refused Outcome = "refused"
+	// Failed: the request may have run, and the caller got an error.
+	Failed Outcome = "failed"
+	// Incomplete: the caller got a part of the answer.
+	Incomplete Outcome = "incomplete"
+	// Cancelled: the caller went away.
+	Cancelled Outcome = "cancelled"
+	// Invalid: the request was at fault.
+	Invalid Outcome = "invalid"
+)
+
+// Key names one counter.
+type Key struct {
+	Partner string
+	Team    string
+	Class   string
+	Outcome Outcome
+}
+
+// Count is what one counter holds.
+type Count struct {
+	Requests int64
+	// Tokens generated for the requests.
+	Tokens int64
+	// Wasted tokens were generated and then discarded, cut off or repeated.
+	Wasted int64
+	// Attained counts the requests that met their class's targets.
+	Attained int64
+}
+
+// Add adds another count.
+func (c *Count) Add(other Count) {
+	c.Requests += other.Requests
+	c.Tokens += other.Tokens
+	c.Wasted += other.Wasted
+	c.Attained += other.Attained
+}
+
+// Line is a counter with its key.
+type Line struct {
+	Key
+	Count
+}
+
+const shards = 16
+
+type shard struct {
+	mu     sync.Mutex
+	counts map[Key]*Count
+}
+
+// Book holds the counters of one process.
+type Book struct {
+	shards [shards]shard
+}
+
+// New returns an empty book.
+func New() *Book {
+	b := &Book{}
+	for i := range b.shards {
+		b.shards[i].counts = map[Key]*Count{}
+	}
+	return b
+}
+
+// Add adds to one counter.
+func (b *Book) Add(k Key, c Count) {
+	s := &b.shards[xxhash.Sum64String(k.Partner+"\x00"+k.Team)%shards]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found, ok := s.counts[k]
+	if !ok {
+		found = &Count{}
+		s.counts[k] = found
+	}
+	found.Add(c)
+}
+
+// Lines returns the counters, sorted by key.
+func (b *Book) Lines() []Line {
+	var out []Line
+	for i := range b.shards {
+		s := &b.shards[i]
+		s.mu.Lock()
+		for k, c := range s.counts {
+			out = append(out, Line{Key: k, Count: *c})
+		}
+		s.mu.Unlock()
+	}
+	SortLines(out)
+	return out
+}
+
+// SortLines sorts by partner, team, class and outcome.
+func SortLines(lines []Line) {
+	slices.SortFunc(lines, func(a, b Line) int {
+		return cmp.Or(
+			cmp.Compare(a.Partner, b.Partner),
+			cmp.Compare(a.Team, b.Team),
+			cmp.Compare(a.Class, b.Class),
+			cmp.Compare(a.Outcome, b.Outcome),
+		)
+	})
+}
+
+// Sum adds up the lines of several processes.
+func Sum(books ...[]Line) []Line {
+	total := New()
+	for _, lines := range books {
+		for _, l := range lines {
+			total.Add(l.Key, l.Count)
+		}
+	}
+	return total.Lines()
+}
--- /dev/null
+++ b/wire/message.go
@@ -0,0 +1,114 @@
+// Package wire holds the schema of messages, settings and the configuration
+// document, the code generated from it, and the codecs that map it to the
+// types of the deciding packages.
+package wire
+
+import (
+	"bufio"
+	"io"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+
+	"cactustide/claim"
+	"cactustide/config"
+	"cactustide/retry"
+	"cactustide/route"
+)
+
+// maxFrame is the largest frame accepted from an agent, bytes.
+const maxFrame = 64 << 20
+
+// WriteFrame writes one frame with its length before it.
+func WriteFrame(w io.Writer, f *Frame) error {
+	_, err := protodelim.MarshalTo(w, f)
+	return err
+}
+
+// ReadFrame reads one frame that WriteFrame wrote.
+func ReadFrame(r *bufio.Reader, f *Frame) error {
+	return protodelim.UnmarshalOptions{MaxSize: maxFrame}.UnmarshalFrom(r, f)
+}
+
+// AgentFrom maps an agent's state to the routing table's type.
+func AgentFrom(m *State) route.Agent {
+	a := route.Agent{
+		Name:        m.GetName(),
+		Incarnation: m.GetIncarnation(),
+		Centre:      m.GetCentre(),
+		Model:       m.GetModel(),
+		Service:     m.GetService(),
+		Slots:       int(m.GetSlots()),
+		Running:     int(m.GetRunning()),
+		Room:        int(m.GetRoom()),
+		Drain:       m.GetDrain(),
+		Healthy:     m.GetHealthy(),
+		Pace:        time.Duration(m.GetPace()) * time.Microsecond,
+	}
+	for tier, n := range m.GetQueued() {
+		if tier < config.Tiers {
+			a.Queued[tier] = int(n)
+		}
+	}
+	return a
+}
+
+// MarksFrom maps marks to the retry package's type.
+func MarksFrom(now time.Time, marks []*Mark) []retry.Mark {
+	out := make([]retry.Mark, 0, len(marks))
+	for _, m := range marks {
+		out = append(out, retry.Mark{
+			Print:    m.GetPrint(),
+			Upstream: m.GetUpstream(),
+			Expires:  now.Add(time.Duration(m.GetLeft()) * time.Millisecond),
+		})
+	}
+	return out
+}
+
+// MarksTo maps marks to messages. Expiry travels as the time left, because
+// hosts' clocks differ.
+func MarksTo(now time.Time, marks []retry.Mark) []*Mark {
+	out := make([]*Mark, 0, len(marks))
+	for _, m := range marks {
+		out = append(out, &Mark{
+			Print:    m.Print,
+			Upstream: m.Upstream,
+			Left:     m.Expires.Sub(now).Milliseconds(),
+		})
+	}
+	return out
+}
+
+// EncodeClaim encodes a claim's record for the platform's service.
+func EncodeClaim(r claim.Record) ([]byte, error) {
+	return proto.Marshal(&Claim{
+		Run:    r.Run,
+		Phase:  string(r.Phase),
+		Print:  r.Print,
+		Agent:  r.Agent,
+		Status: int32(r.Status),
+		Type:   r.Type,
+		Body:   r.Body,
+		Cut:    r.Cut,
+	})
+}
+
+// DecodeClaim decodes what EncodeClaim encoded.
+func DecodeClaim(data []byte) (claim.Record, error) {
+	var m Claim
+	if err := proto.Unmarshal(data, &m); err != nil {
+		return claim.Record{}, &Error{Op: "decode claim", Kind: KindCodec, Err: err}
+	}
+	return claim.Record{
+		Run:    m.GetRun(),
+		Phase:  claim.Phase(m.GetPhase()),
+		Print:  m.GetPrint(),
+		Agent:  m.GetAgent(),
+		Status: int(m.GetStatus()),
+		Type:   m.GetType(),
+		Body:   m.GetBody(),
+		Cut:    m.GetCut(),
+	}, nil
+}
--- /dev/null
+++ b/wire/sse.go
@@ -0,0 +1,55 @@
+package wire
+
+import "bytes"
+
+var (
+	eventPrefix = []byte("data:")
+	endMarker   = []byte("[DONE]")
+)
+
+// maxLine bounds the part of a line that Events keeps; longer lines count by
+// their start.
+const maxLine = 64
+
+// Events counts the events of a server-sent event stream that arrives in
+// pieces, and finds its end marker.
+type Events struct {
+	// Count is the number of data events before the end marker.
+	Count int64
+	// Done means that the end marker was seen.
+	Done bool
+
+	line []byte
+}
+
+// Add takes the next piece of the stream.
+func (e *Events) Add(piece []byte) {
+	for len(piece) > 0 {
+		end := bytes.IndexByte(piece, '\n')
+		if end < 0 {
+			e.keep(piece)
+			return
+		}
+		e.keep(piece[:end])
+		e.endLine()
+		piece = piece[end+1:]
+	}
+}
+
+func (e *Events) keep(part []byte) {
+	room := maxLine - len(e.line)
+	e.line = append(e.line, part[:min(room, len(part))]...)
+}
+
+func (e *Events) endLine() {
+	data, ok := bytes.CutPrefix(e.line, eventPrefix)
+	e.line = e.line[:0]
+	if !ok || e.Done {
+		return
+	}
+	if bytes.Equal(bytes.TrimSpace(data), endMarker) {
+		e.Done = true
+		return
+	}
+	e.Count++
+}
--- /dev/null
+++ b/wire/usage.go
@@ -0,0 +1,51 @@
+package wire
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"cactustide/usage"
+)
+
+// UsageTo maps counters to a message.
+func UsageTo(process string, lines []usage.Line) *Usage {
+	m := &Usage{Process: process}
+	for _, l := range lines {
+		m.Counts = append(m.Counts, &Count{
+			Partner:  l.Partner,
+			Team:     l.Team,
+			Class:    l.Class,
+			Outcome:  string(l.Outcome),
+			Requests: l.Requests,
+			Tokens:   l.Tokens,
+			Wasted:   l.Wasted,
+			Attained: l.Attained,
+		})
+	}
+	return m
+}
+
+// DecodeUsage decodes the counters of a process.
+func DecodeUsage(data []byte) (string, []usage.Line, error) {
+	var m Usage
+	if err := proto.Unmarshal(data, &m); err != nil {
+		return "", nil, &Error{Op: "decode usage", Kind: KindCodec, Err: err}
+	}
+	var lines []usage.Line
+	for _, c := range m.GetCounts() {
+		lines = append(lines, usage.Line{
+			Key: usage.Key{
+				Partner: c.GetPartner(),
+				Team:    c.GetTeam(),
+				Class:   c.GetClass(),
+				Outcome: usage.Outcome(c.GetOutcome()),
+			},
+			Count: usage.Count{
+				Requests: c.GetRequests(),
+				Tokens:   c.GetTokens(),
+				Wasted:   c.GetWasted(),
+				Attained: c.GetAttained(),
+			},
+		})
+	}
+	return m.GetProcess(), lines, nil
+}
