Tell callers of a broken attempt that the request may have run

Also found under the race detector: the heartbeat's timer was set while its first beat could already run. Ruled out: a late run after the refusal (the runs' request ids show attempt 0). Conclusion: an attempt that broke settles what a caller may be told, whatever later attempts say.

--- a/agent/job.go
+++ b/agent/job.go
@@ -40,6 +40,13 @@
 	return s.err
 }
 
+// close drops whatever is sent from now on.
+func (s *sender) close() {
+	s.mu.Lock()
+	s.ended = true
+	s.mu.Unlock()
+}
+
 // serve answers one job with frames. It returns when the job has ended and
 // nothing more will be written.
 func (a *Agent) serve(job *wire.Job, write func(f *wire.Frame, flush bool) error) {
@@ -48,8 +55,8 @@
 	out := &sender{write: write}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	stop := a.beat(out, cancel)
-	defer stop()
+	beats := startHeartbeat(out, cancel)
+	defer beats.Close()
 
 	request, reason := a.admit(ctx, job, begin)
 	if reason != "" {
@@ -63,38 +70,46 @@
 	a.runs.remove(job.GetId())
 }
 
-// beat sends a sign of life at each interval. Its result ends the beats and
-// waits for the last one.
-func (a *Agent) beat(out *sender, cancel context.CancelFunc) func() {
-	done := make(chan struct{})
-	var timer *time.Timer
-	var mu sync.Mutex
-	var beat func()
-	beat = func() {
-		if err := out.send(&wire.Frame{Kind: wire.Kind_WAIT}, true); err != nil {
-			cancel()
-			return
-		}
-		mu.Lock()
-		defer mu.Unlock()
-		select {
-		case <-done:
-		default:
-			timer = time.AfterFunc(beatInterval, beat)
-		}
+// heartbeat sends signs of life for one job.
+type heartbeat struct {
+	out     *sender
+	cancel  context.CancelFunc
+	mu      sync.Mutex
+	timer   *time.Timer
+	stopped bool
+}
+
+// startHeartbeat sends a sign of life at each interval. When one cannot be
+// sent, the entry is gone and the job is cancelled.
+func startHeartbeat(out *sender, cancel context.CancelFunc) *heartbeat {
+	h := &heartbeat{out: out, cancel: cancel}
+	h.mu.Lock()
+	h.timer = time.AfterFunc(beatInterval, h.beat)
+	h.mu.Unlock()
+	return h
+}
+
+func (h *heartbeat) beat() {
+	if err := h.out.send(&wire.Frame{Kind: wire.Kind_WAIT}, true); err != nil {
+		h.cancel()
+		return
 	}
-	timer = time.AfterFunc(beatInterval, beat)
-	return func() {
-		out.mu.Lock()
-		out.ended = true
-		out.mu.Unlock()
-		mu.Lock()
-		defer mu.Unlock()
-		close(done)
-		timer.Stop()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.stopped {
+		h.timer.Reset(beatInterval)
 	}
 }
 
+// Close ends the signs of life and waits for one that is being written.
+func (h *heartbeat) Close() {
+	h.out.close()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.stopped = true
+	h.timer.Stop()
+}
+
 // admit waits in the queue. It returns the reason if the job was not started.
 func (a *Agent) admit(ctx context.Context, job *wire.Job, now time.Time) (*sched.Request, string) {
 	document := a.effective.Load()
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -43,33 +43,25 @@
 	unsent bool
 }
 
-// serve finds an agent for a request and returns the answer's start.
+// serve finds an agent for a request and returns the answer's start. Once an
+// attempt broke, the request may have run, whatever later attempts say.
 func (e *Entry) serve(r *request, conn net.Conn) *answer {
 	e.budget.Earn()
 	r.want.Avoid = map[string]bool{}
+	mayHaveRun := false
 	refusal := ""
 	for try := range maxTries {
-		now := time.Now()
-		if fault := e.judge(now, r); fault != nil {
-			return &answer{fault: fault}
+		name, address, fault := e.choose(r)
+		if fault != nil {
+			return &answer{fault: fault.orBroken(mayHaveRun)}
 		}
-		left := r.left(now)
-		if left <= 0 {
-			return &answer{fault: refusalFault(agent.ReasonExpired)}
-		}
-		name, ok := e.table.Choose(now, r.want, rand.IntN)
-		if !ok {
+		if name == "" {
 			break
 		}
-		address, ok := e.addressOf(name)
-		if !ok {
-			r.want.Avoid[name] = true
-			continue
-		}
 		r.job.Id = r.id + "-" + strconv.Itoa(try)
-		r.job.Left = left
 		out := e.try(r, name, address, conn)
 		if out.answer != nil {
+			out.answer.fault = out.answer.fault.orBroken(mayHaveRun)
 			return out.answer
 		}
 		r.want.Avoid[name] = true
@@ -82,16 +74,36 @@
 			refusal = agent.ReasonDown
 			continue
 		}
+		mayHaveRun = true
 		if !e.budget.Take() {
-			return &answer{fault: brokenFault()}
+			break
 		}
 		e.scope.Counter("retries").Inc(1)
-		refusal = "broken"
 	}
-	if refusal == "broken" {
-		return &answer{fault: brokenFault()}
+	return &answer{fault: refusalFault(refusal).orBroken(mayHaveRun)}
+}
+
+// choose picks the next agent for a request. The name is empty when no agent
+// would take it.
+func (e *Entry) choose(r *request) (name, address string, fault *Fault) {
+	now := time.Now()
+	if fault := e.judge(now, r); fault != nil {
+		return "", "", fault
+	}
+	r.job.Left = r.left(now)
+	if r.job.Left <= 0 {
+		return "", "", refusalFault(agent.ReasonExpired)
+	}
+	for {
+		name, ok := e.table.Choose(now, r.want, rand.IntN)
+		if !ok {
+			return "", "", nil
+		}
+		if address, ok := e.addressOf(name); ok {
+			return name, address, nil
+		}
+		r.want.Avoid[name] = true
 	}
-	return &answer{fault: refusalFault(refusal)}
 }
 
 // judge refuses requests that crashed several upstreams, and marks suspects.
@@ -226,6 +238,14 @@
 	return f
 }
 
+// orBroken returns the fault that says so if the request may have run.
+func (f *Fault) orBroken(mayHaveRun bool) *Fault {
+	if f != nil && f.Run == RunNone && mayHaveRun {
+		return brokenFault()
+	}
+	return f
+}
+
 func brokenFault() *Fault {
 	return &Fault{
 		Status:  fasthttp.StatusBadGateway,
--- a/fakes/plain.go
+++ b/fakes/plain.go
@@ -25,12 +25,13 @@
 	Work time.Duration
 	mu   sync.Mutex
 	runs map[string]int
-	all  int
+	// requests holds the ids of the requests that ran.
+	requests map[string]bool
 }
 
 // StartPlain starts the service at address.
 func StartPlain(address string, work time.Duration) (*Plain, error) {
-	p := &Plain{Work: work, runs: map[string]int{}}
+	p := &Plain{Work: work, runs: map[string]int{}, requests: map[string]bool{}}
 	return p, p.start(address, p.handle)
 }
 
@@ -41,6 +42,17 @@
 	return p.runs[key]
 }
 
+// Requests returns the ids of the requests that ran.
+func (p *Plain) Requests() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make([]string, 0, len(p.requests))
+	for id := range p.requests {
+		out = append(out, id)
+	}
+	return out
+}
+
 // All returns the runs by key.
 func (p *Plain) All() map[string]int {
 	p.mu.Lock()
@@ -70,7 +82,7 @@
 	}
 	key := string(ctx.Request.Header.Peek("Idempotency-Key"))
 	p.mu.Lock()
-	p.all++
+	p.requests[string(ctx.Request.Header.Peek("X-Request-Id"))] = true
 	if key != "" {
 		p.runs[key]++
 	}
--- /dev/null
+++ b/tests/stack_test.go
@@ -0,0 +1,416 @@
+package tests
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"cactustide/config"
+	"cactustide/entry"
+	"cactustide/fakes"
+	"cactustide/store"
+	"cactustide/wire"
+)
+
+// binary is the product, built once for all tests.
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "cactustide")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "cactustide")
+	build := exec.Command("go", "build", "-race", "-o", binary, "..")
+	if os.Getenv("CACTUSTIDE_NO_RACE") != "" {
+		build = exec.Command("go", "build", "-o", binary, "..")
+	}
+	if out, err := build.CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+const (
+	eisklangKey  = "eisklang-demo-key"
+	gyeongnamKey = "gyeongnam-demo-key"
+	service      = "records"
+	model        = "birch"
+)
+
+// process is one real process of the system.
+type process struct {
+	t      *testing.T
+	role   string
+	file   string
+	listen string
+	peer   string
+	admin  string
+	name   string
+	log    *bytes.Buffer
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	exited chan struct{}
+}
+
+func (p *process) start() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cmd = exec.Command(binary, p.role, "--settings", p.file)
+	p.cmd.Stderr = &lockedWriter{buffer: p.log, mu: &p.mu}
+	if err := p.cmd.Start(); err != nil {
+		p.t.Fatal(err)
+	}
+	exited, cmd := make(chan struct{}), p.cmd
+	p.exited = exited
+	go func() {
+		_ = cmd.Wait()
+		close(exited)
+	}()
+}
+
+type lockedWriter struct {
+	buffer *bytes.Buffer
+	mu     *sync.Mutex
+}
+
+// Write keeps the tail of the log.
+func (w *lockedWriter) Write(b []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.buffer.Len() > 1<<20 {
+		w.buffer.Reset()
+	}
+	return w.buffer.Write(b)
+}
+
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	cmd := p.cmd
+	p.mu.Unlock()
+	_ = cmd.Process.Signal(s)
+}
+
+func (p *process) wait() {
+	p.mu.Lock()
+	exited := p.exited
+	p.mu.Unlock()
+	<-exited
+}
+
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	p.wait()
+}
+
+func (p *process) freeze(d time.Duration) {
+	p.signal(syscall.SIGSTOP)
+	time.Sleep(d)
+	p.signal(syscall.SIGCONT)
+}
+
+func (p *process) text() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.String()
+}
+
+// stack is a whole deployment: stand-ins within the test, entries and agents as
+// processes.
+type stack struct {
+	t       *testing.T
+	dir     string
+	kv      *fakes.KV
+	engines []*fakes.Engine
+	plains  []*fakes.Plain
+	agents  []*process
+	entries []*process
+	client  *http.Client
+}
+
+type stackOptions struct {
+	entries  int
+	engines  int
+	plains   int
+	slots    int
+	queue    int
+	engine   fakes.EngineOptions
+	work     time.Duration
+	progress string
+	seed     uint64
+	edit     func(*config.Document)
+	// platform replaces the address of the key-value service for a process.
+	platform func(role string, i int, address string) string
+}
+
+func newStack(t *testing.T, o stackOptions) *stack {
+	t.Helper()
+	s := &stack{t: t, dir: t.TempDir(), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4096, MaxIdleConns: 8192}}}
+	var err error
+	if s.kv, err = fakes.StartKV("127.0.0.1:0", o.seed); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.close)
+	s.apply(o.edit)
+	for i := range o.engines {
+		e := o.engine
+		e.Address, e.Model = "127.0.0.1:0", model
+		if e.Slots == 0 {
+			e.Slots = max(8, o.slots)
+		}
+		if e.Down == 0 {
+			e.Down = time.Second
+		}
+		engine, err := fakes.StartEngine(e)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.engines = append(s.engines, engine)
+		s.addAgent(fmt.Sprint("birch-", i), "engine", model, "", engine.Address(), o)
+	}
+	for i := range o.plains {
+		plain, err := fakes.StartPlain("127.0.0.1:0", o.work)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.plains = append(s.plains, plain)
+		s.addAgent(fmt.Sprint("records-", i), "plain", "", service, plain.Address(), o)
+	}
+	for i := range o.entries {
+		s.addEntry(i, o)
+	}
+	s.waitReady()
+	return s
+}
+
+func (s *stack) close() {
+	for _, p := range append(s.entries, s.agents...) {
+		p.signal(syscall.SIGCONT)
+		p.kill()
+		if strings.Contains(p.text(), "DATA RACE") || strings.Contains(p.text(), "panic:") {
+			s.t.Errorf("%s: %s", p.name, p.text())
+		}
+	}
+	for _, e := range s.engines {
+		e.Close()
+	}
+	for _, p := range s.plains {
+		p.Close()
+	}
+	s.kv.Close()
+}
+
+// document is the example document, as operators would apply it.
+func document(t *testing.T) *config.Document {
+	t.Helper()
+	text, err := os.ReadFile("../examples/document.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, err := wire.ParseDocument(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+// register is the document's place, reached as ctl does.
+func (s *stack) register() config.Register {
+	client := store.New(s.kv.Address())
+	key := "cactustide" + entry.DocumentKey
+	return config.Register{
+		Read: func() (*config.Document, uint64, error) {
+			pair, err := client.Get(key)
+			if err != nil || pair.Version == 0 {
+				return nil, 0, err
+			}
+			d, err := wire.DecodeDocument(pair.Value)
+			return d, pair.Version, err
+		},
+		Swap: func(d *config.Document, version uint64) (bool, error) {
+			data, err := wire.EncodeDocument(d)
+			if err != nil {
+				return false, err
+			}
+			return client.Swap(key, data, version)
+		},
+	}
+}
+
+func (s *stack) apply(edit func(*config.Document)) {
+	s.t.Helper()
+	_, err := config.Change(s.register(), fmt.Sprint("test-", time.Now().UnixNano()), "test", func(d *config.Document) {
+		*d = *document(s.t)
+		if edit != nil {
+			edit(d)
+		}
+	})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (s *stack) newProcess(role, name string, settings string) *process {
+	p := &process{
+		t: s.t, role: role, name: name, log: &bytes.Buffer{}, file: filepath.Join(s.dir, name+".yaml"),
+		listen: freeAddress(s.t), peer: freeAddress(s.t), admin: freeAddress(s.t),
+	}
+	text := fmt.Sprintf("name: %s\ncentre: ibk-1\nlisten: %s\nadmin: %s\ntoken: t\noperator: o\n%s", name, p.listen, p.admin, settings)
+	if role == "agent" {
+		text += "peer: " + p.peer + "\n"
+	}
+	if err := os.WriteFile(p.file, []byte(text), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	p.start()
+	return p
+}
+
+func (s *stack) platformOf(o stackOptions, role string, i int) string {
+	if o.platform == nil {
+		return s.kv.Address()
+	}
+	return o.platform(role, i, s.kv.Address())
+}
+
+func (s *stack) addAgent(name, kind, model, service, upstream string, o stackOptions) {
+	settings := fmt.Sprintf("platform: %s\nlog: {level: info}\nupstream: {kind: %s, address: %q, model: %q, service: %q, slots: %d, queue: %d}\nlimits: {stop: 20s}\n",
+		s.platformOf(o, "agent", len(s.agents)), kind, upstream, model, service, o.slots, o.queue)
+	p := s.newProcess("agent", name, settings)
+	s.agents = append(s.agents, p)
+	host, port, _ := net.SplitHostPort(p.listen)
+	h := fakes.KVHost{Name: name, Address: host, Peer: p.peer, Group: model + service}
+	fmt.Sscan(port, &h.Port)
+	s.kv.SetHost(h)
+}
+
+func (s *stack) addEntry(i int, o stackOptions) {
+	progress := o.progress
+	if progress == "" {
+		progress = "3s"
+	}
+	settings := fmt.Sprintf("platform: %s\nlog: {level: info}\nlimits: {progress: %s, stop: 20s}\npeers:\n", s.platformOf(o, "entry", i), progress)
+	for _, a := range s.agents {
+		settings += fmt.Sprintf("  - {name: %s, listen: %q, peer: %q}\n", a.name, a.listen, a.peer)
+	}
+	s.entries = append(s.entries, s.newProcess("entry", fmt.Sprint("entry-", i), settings))
+}
+
+// waitReady waits until every entry and agent is ready.
+func (s *stack) waitReady() {
+	s.t.Helper()
+	for _, p := range append(append([]*process{}, s.entries...), s.agents...) {
+		s.waitFor(p.name+" ready", 20*time.Second, func() bool { return s.isReady(p) })
+	}
+}
+
+func (s *stack) isReady(p *process) bool {
+	resp, err := s.client.Get("http://" + p.admin + "/ready")
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode == http.StatusOK
+}
+
+func (s *stack) waitFor(what string, limit time.Duration, holds func() bool) {
+	s.t.Helper()
+	end := time.Now().Add(limit)
+	for !holds() {
+		if time.Now().After(end) {
+			s.t.Fatalf("%s: did not hold within %v", what, limit)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// reply is what a caller saw.
+type reply struct {
+	status int
+	run    string
+	id     string
+	body   string
+	err    error
+}
+
+// call sends one request as a caller would, without resends.
+func (s *stack) call(entry *process, method, path, key string, header map[string]string, body string, limit time.Duration) reply {
+	req, err := http.NewRequest(method, "http://"+entry.listen+path, strings.NewReader(body))
+	if err != nil {
+		return reply{err: err}
+	}
+	req.GetBody = nil // The library must not resend.
+	req.Header.Set("Authorization", "Bearer "+key)
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	client := *s.client
+	client.Timeout = limit
+	resp, err := client.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, run: resp.Header.Get("X-Run"), id: resp.Header.Get("X-Request-Id"), body: string(data), err: err}
+}
+
+func (s *stack) chat(entry *process, content string, stream bool, limit time.Duration) reply {
+	body := fmt.Sprintf(`{"model":%q,"stream":%v,"messages":[{"role":"user","content":%q}]}`, model, stream, content)
+	return s.call(entry, http.MethodPost, "/v1/chat/completions", eisklangKey, nil, body, limit)
+}
+
+func (s *stack) action(entry *process, key string, limit time.Duration) reply {
+	return s.call(entry, http.MethodPost, "/s/records/permits", gyeongnamKey, map[string]string{"Idempotency-Key": key, "X-Class": "action"}, "permit "+key, limit)
+}
+
+// usage returns the requests of a partner by outcome, as one entry counts them.
+func (s *stack) usage(e *process) map[string]int64 {
+	s.t.Helper()
+	var lines []struct {
+		Partner, Outcome string
+		Requests         int64
+	}
+	s.admin(e, entry.PathUsage, &lines)
+	out := map[string]int64{}
+	for _, l := range lines {
+		out[l.Partner] += l.Requests
+		out[l.Partner+"/"+l.Outcome] += l.Requests
+	}
+	return out
+}
+
+func (s *stack) admin(e *process, path string, into any) {
+	s.t.Helper()
+	req, _ := http.NewRequest(http.MethodGet, "http://"+e.admin+path, nil)
+	req.Header.Set("Authorization", "Bearer o")
+	resp, err := s.client.Do(req)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	decodeJSON(s.t, resp.Body, into)
+}
