--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 .DEFAULT_GOAL := help
 GO ?= go
 
-.PHONY: help build run smoke test fuzz spec fmt lint generate clean
+.PHONY: help build run smoke test fuzz spec slopes capacity measure tables fmt lint generate clean
 
 help: ## Lists the targets.
 	@awk -F':.*## ' '/^[a-z-]+:.*## /{printf "  %-10s %s\n", $$1, $$2}' $(MAKEFILE_LIST)
@@ -36,5 +36,20 @@
 generate: ## Generates the messages from the schema.
 	protoc --go_out=. --go_opt=module=cactustide wire/wire.proto
 
+slopes: build ## Measures the slopes of docs/CAPACITY.md (2 minutes).
+	bin/lab slopes
+
+capacity: build ## Works out the table of docs/CAPACITY.md from the slopes.
+	bin/lab capacity
+
+measure: build ## Prints the tables of docs/MEASUREMENTS.md (3 minutes).
+	bin/lab policy
+	bin/lab overhead
+
+tables: slopes capacity measure ## Rebuilds every table of the docs.
+
+fuzz: ## Runs each fuzz target for a few seconds.
+	@scripts/fuzz.sh
+
 clean: ## Removes what was built.
 	rm -rf bin
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,6 +22,7 @@
 	"cactustide/sched"
 	"cactustide/setup"
 	"cactustide/store"
+	"cactustide/usage"
 	"cactustide/wire"
 )
 
@@ -51,12 +54,15 @@
 	tickInterval   = 10 * time.Millisecond
 	healthInterval = 500 * time.Millisecond
 	claimInterval  = time.Second // Between tries for an incarnation number.
-	paceWeight     = 0.1         // Of the newest run in the smoothed pace.
+	usageInterval  = 5 * time.Second
+	paceWeight     = 0.1 // Of the newest run in the smoothed pace.
 )
 
 // Agent is the daemon's state.
 type Agent struct {
 	settings *setup.Settings
+	// process names this run of the daemon.
+	process  string
 	log      *meter.Log
 	scope    tally.Scope
 	platform *store.Client
@@ -74,6 +80,7 @@
 	// pace is the smoothed time for each token, microseconds.
 	pace atomic.Int64
 	runs runs
+	book *usage.Book
 
 	servers servers
 	cancel  context.CancelFunc
@@ -84,11 +91,13 @@
 func New(s *setup.Settings, log *meter.Log, m *meter.Meter) *Agent {
 	a := &Agent{
 		settings: s,
+		process:  s.Name + "-" + strconv.FormatUint(rand.Uint64(), 36),
 		log:      log,
 		scope:    m.Scope,
 		platform: store.New(s.Platform),
 		upstream: newUpstream(s.Upstream, s.Answer),
 		marks:    retry.NewMarks(),
+		book:     usage.New(),
 		runs:     runs{cancels: map[string]context.CancelFunc{}},
 	}
 	a.platform.OnCall = func(op string, failed bool) {
@@ -97,7 +106,7 @@
 			m.Scope.Tagged(map[string]string{"call": op}).Counter("platform_failures").Inc(1)
 		}
 	}
-	a.claims = newClaims(a.platform, s.Prefix)
+	a.claims = NewClaims(a.platform, s.Prefix)
 	a.gate = newGate(sched.Policy{Slots: s.Upstream.Slots, Queue: s.Upstream.Queue})
 	a.servers.scrape = m.Scrape
 	return a
@@ -113,9 +122,10 @@
 		return err
 	}
 	a.healthy.Store(a.upstream.isHealthy())
-	a.group.Go(func() error { return every(ctx, tickInterval, func() { a.gate.expire(time.Now()) }) })
+	a.group.Go(func() error { return a.gate.watch(ctx) })
 	a.group.Go(func() error { return every(ctx, healthInterval, a.checkHealth) })
 	a.group.Go(func() error { return a.takeNumber(ctx) })
+	a.group.Go(func() error { return every(ctx, usageInterval, a.writeUsage) })
 	a.log.Infof("listening on %s for upstream %s", a.settings.Listen, a.settings.Upstream.Address)
 	return nil
 }
@@ -156,6 +166,7 @@
 	a.servers.close()
 	a.cancel()
 	_ = a.group.Wait()
+	a.writeUsage()
 	a.upstream.close()
 }
 
@@ -202,6 +213,13 @@
 	}
 }
 
+// writeUsage keeps the counters of this process in the platform's service.
+func (a *Agent) writeUsage() {
+	if err := wire.PutUsage(a.platform.Put, a.settings.Prefix, a.process, a.book.Lines()); err != nil {
+		a.log.Warnf("usage not written: %v", err)
+	}
+}
+
 // state is what the agent says of itself.
 func (a *Agent) state(now time.Time) *wire.State {
 	c := a.gate.counts()
--- a/agent/claims.go
+++ b/agent/claims.go
@@ -13,8 +13,8 @@
 	"cactustide/wire"
 )
 
-// newClaims keeps claims in the platform's service, one key for each.
-func newClaims(c *store.Client, prefix string) claim.Store {
+// NewClaims keeps claims in the platform's service, one key for each.
+func NewClaims(c *store.Client, prefix string) claim.Store {
 	return claim.Store{
 		Read: func(key string) (claim.Record, uint64, error) {
 			pair, err := c.Get(prefix + "/claims/" + key)
--- a/agent/gate.go
+++ b/agent/gate.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -40,12 +41,15 @@
 	tickets map[string]chan decision
 	drain   bool
 	idle    *sync.Cond
+	// queued is signalled when a request stays in the queue.
+	queued chan struct{}
 }
 
 func newGate(p sched.Policy) *gate {
 	g := &gate{
 		sched:   sched.New(p),
 		tickets: map[string]chan decision{},
+		queued:  make(chan struct{}, 1),
 	}
 	g.idle = sync.NewCond(&g.mu)
 	return g
@@ -67,6 +71,12 @@
 		g.decide(victim.ID, decision{reason: evictionReason(victim, r)})
 	}
 	g.startNext(now)
+	if g.sched.Waiting() > 0 {
+		select {
+		case g.queued <- struct{}{}:
+		default:
+		}
+	}
 	return ticket
 }
 
@@ -137,8 +147,24 @@
 	return true
 }
 
-// expire refuses the queued requests whose time is up.
-func (g *gate) expire(now time.Time) {
+// watch looks at the queue at each tick while something is queued, until the
+// context ends.
+func (g *gate) watch(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-g.queued:
+		}
+		for g.expire(time.Now()) > 0 && ctx.Err() == nil {
+			time.Sleep(tickInterval)
+		}
+	}
+}
+
+// expire refuses the queued requests whose time is up, and returns how many are
+// left.
+func (g *gate) expire(now time.Time) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, r := range g.sched.Expire(now) {
@@ -146,6 +172,7 @@
 	}
 	// The reserve shrinks with time, without any event.
 	g.startNext(now)
+	return g.sched.Waiting()
 }
 
 // empty refuses every queued request for a reason.
--- a/agent/job.go
+++ b/agent/job.go
@@ -8,6 +8,7 @@
 	"cactustide/claim"
 	"cactustide/meter"
 	"cactustide/sched"
+	"cactustide/usage"
 	"cactustide/wire"
 )
 
@@ -58,6 +59,9 @@
 	beats := startHeartbeat(out, cancel)
 	defer beats.Close()
 
+	if !job.GetAgain() {
+		a.book.Add(usage.Key{Entry: job.GetEntry(), Partner: job.GetPartner(), Team: job.GetTeam(), Class: job.GetClass(), Outcome: usage.Seen}, usage.Count{Requests: 1})
+	}
 	request, reason := a.admit(ctx, job, begin)
 	if reason != "" {
 		log.Debugf("refused: %s", reason)
--- a/agent/server.go
+++ b/agent/server.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"bytes"
 	"crypto/subtle"
 	"net"
 	"sync"
 
 	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/pprofhandler"
 	"google.golang.org/protobuf/proto"
 
 	"cactustide/peer"
@@ -18,6 +20,7 @@
 	pathHealthy = "/health"
 	pathReady   = "/ready"
 	pathMetrics = "/metrics"
+	pathProfile = "/debug/pprof"
 	bearer      = "Bearer "
 	// jobOverhead is the room for a job's fields beside its body, bytes.
 	jobOverhead = 64 << 10
@@ -49,6 +52,7 @@
 func (s *servers) listenJobs(a *Agent) error {
 	s.jobs = &fasthttp.Server{
 		Name:               serverName,
+		Logger:             a.log,
 		Handler:            a.handleJob,
 		MaxRequestBodySize: int(a.settings.Body) + jobOverhead,
 		CloseOnShutdown:    true,
@@ -57,7 +61,7 @@
 }
 
 func (s *servers) listenAdmin(a *Agent) error {
-	s.admin = &fasthttp.Server{Name: serverName, Handler: a.handleAdmin, CloseOnShutdown: true}
+	s.admin = &fasthttp.Server{Name: serverName, Logger: a.log, Handler: a.handleAdmin, CloseOnShutdown: true}
 	return s.serve(s.admin, a.settings.Admin)
 }
 
@@ -114,7 +118,19 @@
 	case pathMetrics:
 		a.servers.scrape(ctx)
 	default:
+		a.handleProfile(ctx)
+	}
+}
+
+// handleProfile gives operators the runtime's profiles.
+func (a *Agent) handleProfile(ctx *fasthttp.RequestCtx) {
+	switch {
+	case !bytes.HasPrefix(ctx.Path(), []byte(pathProfile)):
 		ctx.Error("not found", fasthttp.StatusNotFound)
+	case !isAuthorized(ctx, a.settings.Operator):
+		ctx.Error("wrong operator token", fasthttp.StatusUnauthorized)
+	default:
+		pprofhandler.PprofHandler(ctx)
 	}
 }
 
--- a/bench/router.go
+++ b/bench/router.go
@@ -69,7 +69,7 @@
 		r.agents[0].pace *= slowdown
 	}
 	for range 2 {
-		r.entries = append(r.entries, &simEntry{table: route.New(), budget: retry.NewBudget()})
+		r.entries = append(r.entries, &simEntry{table: route.New(3 * time.Second), budget: retry.NewBudget()})
 	}
 	turn := 0
 	counts := arrivals(r.clock, o, func(x *request) {
--- /dev/null
+++ b/claim/claim_test.go
@@ -0,0 +1,153 @@
+package claim
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+var errLost = errors.New("no answer")
+
+type version struct {
+	record Record
+	number uint64
+}
+
+// memory is a store whose answers can be lost, before or after the effect, or
+// whose writes can arrive late.
+type memory struct {
+	keys   map[string]version
+	random *rand.Rand
+	lose   float64
+	late   []func()
+}
+
+func newMemory(seed uint64, lose float64) *memory {
+	return &memory{keys: map[string]version{}, random: rand.New(rand.NewPCG(seed, 1)), lose: lose}
+}
+
+func (m *memory) store() Store {
+	return Store{
+		Read: func(key string) (Record, uint64, error) {
+			if m.random.Float64() < m.lose {
+				return Record{}, 0, errLost
+			}
+			v := m.keys[key]
+			return v.record, v.number, nil
+		},
+		Swap: func(key string, r Record, number uint64) (bool, error) {
+			apply := func() bool {
+				if m.keys[key].number != number {
+					return false
+				}
+				m.keys[key] = version{record: r, number: number + 1}
+				return true
+			}
+			if m.random.Float64() >= m.lose {
+				return apply(), nil
+			}
+			switch m.random.IntN(3) {
+			case 0:
+				apply()
+			case 1:
+				m.late = append(m.late, func() { apply() })
+			}
+			return false, errLost
+		},
+	}
+}
+
+func (m *memory) deliverLate() {
+	for _, f := range m.late {
+		f()
+	}
+	m.late = nil
+}
+
+// TestTakeStartsOnce lets many runs take few keys while answers are lost and
+// writes arrive late. The naive version, which looks for a record and then
+// starts without a claim, runs keys twice under the same schedules.
+func TestTakeStartsOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMemory(rapid.Uint64().Draw(t, "seed"), rapid.Float64Range(0, 0.7).Draw(t, "lose"))
+		s := m.store()
+		starts := map[string]int{}
+		for i := range rapid.IntRange(1, 30).Draw(t, "runs") {
+			key := fmt.Sprint("key-", rapid.IntRange(0, 2).Draw(t, "key"))
+			run := fmt.Sprint("run-", i)
+			verdict, record, _ := Take(s, key, run, "agent", 1)
+			if rapid.Bool().Draw(t, "late writes arrive") {
+				m.deliverLate()
+			}
+			if verdict != Start {
+				continue
+			}
+			if record.Run != run {
+				t.Fatalf("got record of %s, want of %s", record.Run, run)
+			}
+			if rapid.IntRange(0, 3).Draw(t, "unreachable") == 0 {
+				_, _ = Release(s, key, record)
+				continue
+			}
+			starts[key]++
+			_ = Finish(s, key, record)
+		}
+		for key, got := range starts {
+			if got > 1 {
+				t.Fatalf("%s: got %d starts, want at most 1", key, got)
+			}
+		}
+	})
+}
+
+// TestNaiveRunsTwice shows that the schedules of TestTakeStartsOnce find the
+// fault of the naive version.
+func TestNaiveRunsTwice(t *testing.T) {
+	twice := 0
+	for seed := range uint64(100) {
+		s := newMemory(seed, 0.3).store()
+		starts := 0
+		for range 5 {
+			if _, number, err := s.Read("key"); err == nil && number == 0 {
+				starts++
+				_, _ = s.Swap("key", Record{Run: "r", Phase: Done}, 0)
+			}
+		}
+		if starts > 1 {
+			twice++
+		}
+	}
+	if twice == 0 {
+		t.Error("got no seed under which the naive version runs twice, want some")
+	}
+}
+
+// TestTakeVerdicts checks what a resend hears.
+func TestTakeVerdicts(t *testing.T) {
+	tests := map[string]struct {
+		record Record
+		print  uint64
+		want   Verdict
+	}{
+		"absent":        {print: 1, want: Start},
+		"void":          {record: Record{Run: "a", Phase: Void, Print: 1}, print: 1, want: Start},
+		"running":       {record: Record{Run: "a", Phase: Claimed, Print: 1}, print: 1, want: Running},
+		"done":          {record: Record{Run: "a", Phase: Done, Print: 1}, print: 1, want: Replay},
+		"other content": {record: Record{Run: "a", Phase: Done, Print: 2}, print: 1, want: Mismatch},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			m := newMemory(1, 0)
+			if test.record.Run != "" {
+				m.keys["k"] = version{record: test.record, number: 1}
+			}
+			got, _, err := Take(m.store(), "k", "b", "agent", test.print)
+			if got != test.want || err != nil {
+				t.Errorf("got %v (%v), want %v", got, err, test.want)
+			}
+		})
+	}
+}
--- a/cmds/report.go
+++ b/cmds/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"text/tabwriter"
 
 	"cactustide/burn"
@@ -68,7 +69,7 @@
 func newUsage(c *ctl) command {
 	parser := newSubcommand("usage", "prints requests and tokens by partner, team and class")
 	return command{parser: parser, run: c.with(func(x *session) int {
-		pairs, err := x.platform.List(x.settings.Prefix + entry.UsageKey)
+		pairs, err := x.platform.List(x.settings.Prefix + wire.UsageKey)
 		if err != nil {
 			return x.fail(err, ExitPlatform)
 		}
@@ -80,7 +81,7 @@
 			}
 			books = append(books, lines)
 		}
-		lines := usage.Sum(books...)
+		lines := usage.Settle(slices.Concat(books...))
 		return x.print(lines, "PARTNER\tTEAM\tCLASS\tOUTCOME\tREQUESTS\tATTAINED\tTOKENS\tWASTED", func(w *tabwriter.Writer) {
 			for _, l := range lines {
 				fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\n", l.Partner, l.Team, l.Class, l.Outcome, l.Requests, l.Attained, l.Tokens, l.Wasted)
--- /dev/null
+++ b/config/config_test.go
@@ -0,0 +1,173 @@
+package config
+
+import (
+	"errors"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+func valid() *Document {
+	return &Document{
+		Preset:   "p",
+		Presets:  []Preset{{Name: "p"}, {Name: "q", Shares: []Share{{Partner: "a", Share: 3}}, Tunes: []Tune{{Class: "c", Floor: 0.2, Cap: 0.5}}}},
+		Classes:  []Class{{Name: "c", Tier: 1, Target: time.Second, Wait: time.Second, Objective: 0.9, Floor: 0.1}},
+		Partners: []Partner{{Name: "a", Share: 1, Teams: []Team{{Name: "t", Class: "c", Keys: []string{strings.Repeat("a", 64)}}}}},
+		Services: []Service{{Name: "s", Once: []Rule{{Method: "POST", Path: "/x"}}}},
+	}
+}
+
+// TestCheck checks that each fault is told with its key.
+func TestCheck(t *testing.T) {
+	tests := map[string]struct {
+		edit func(d *Document)
+		want string
+	}{
+		"no fault":         {edit: func(*Document) {}},
+		"no class":         {edit: func(d *Document) { d.Classes = nil }, want: "classes"},
+		"tier":             {edit: func(d *Document) { d.Classes[0].Tier = 7 }, want: "classes[0].tier"},
+		"target":           {edit: func(d *Document) { d.Classes[0].Target = 0 }, want: "classes[0].target"},
+		"wait":             {edit: func(d *Document) { d.Classes[0].Wait = 48 * time.Hour }, want: "classes[0].wait"},
+		"objective":        {edit: func(d *Document) { d.Classes[0].Objective = 1 }, want: "classes[0].objective"},
+		"floors too dense": {edit: func(d *Document) { d.Classes[0].Floor = 0.51 }, want: "classes"},
+		"tuned floors":     {edit: func(d *Document) { d.Presets[1].Tunes[0].Floor = 0.6 }, want: "presets[1].tunes"},
+		"cap":              {edit: func(d *Document) { d.Classes[0].Cap = 2 }, want: "classes[0].cap"},
+		"twice":            {edit: func(d *Document) { d.Classes = append(d.Classes, d.Classes[0]) }, want: "classes[1].name"},
+		"share":            {edit: func(d *Document) { d.Partners[0].Share = 0 }, want: "partners[0].share"},
+		"team's class":     {edit: func(d *Document) { d.Partners[0].Teams[0].Class = "x" }, want: "partners[0].teams[0].class"},
+		"key":              {edit: func(d *Document) { d.Partners[0].Teams[0].Keys[0] = "secret" }, want: "partners[0].teams[0].keys[0]"},
+		"preset":           {edit: func(d *Document) { d.Preset = "x" }, want: "preset"},
+		"preset's partner": {edit: func(d *Document) { d.Presets[1].Shares[0].Partner = "x" }, want: "presets[1].shares[0].partner"},
+		"rule":             {edit: func(d *Document) { d.Services[0].Once[0].Path = "x" }, want: "services[0].once[0].path"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := valid()
+			test.edit(d)
+			faults := Check(d)
+			got := ""
+			if len(faults) > 0 {
+				got = faults[0].Key
+			}
+			if got != test.want {
+				t.Errorf("got %v, want first at %q", faults, test.want)
+			}
+		})
+	}
+}
+
+// TestEffective checks that only the preset in force overrides.
+func TestEffective(t *testing.T) {
+	d := valid()
+	if got := d.Effective().Partners[0].Share; got != 1 {
+		t.Errorf("got share %v under p, want 1", got)
+	}
+	d.Preset = "q"
+	e := d.Effective()
+	if e.Partners[0].Share != 3 || e.Classes[0].Floor != 0.2 || d.Partners[0].Share != 1 {
+		t.Errorf("got %+v %+v, want the overrides of q on a copy", e.Partners[0], e.Classes[0])
+	}
+}
+
+var errNoAnswer = errors.New("no answer")
+
+// register is a document whose answers are lost as told.
+type register struct {
+	mu      sync.Mutex
+	current *Document
+	version uint64
+	// effect and answer say what becomes of the next write.
+	effect, answer bool
+	// after runs behind the next write.
+	after func()
+}
+
+func (r *register) register() Register {
+	return Register{
+		Read: func() (*Document, uint64, error) { return r.current, r.version, nil },
+		Swap: func(d *Document, version uint64) (bool, error) {
+			ok := version == r.version
+			if ok && r.effect {
+				r.current, r.version = d, r.version+1
+			}
+			if r.after != nil {
+				r.after()
+			}
+			if !r.answer {
+				return false, errNoAnswer
+			}
+			return ok, nil
+		},
+	}
+}
+
+// TestChange checks that won, lost and unknown are told apart.
+func TestChange(t *testing.T) {
+	other := func(r *register, id string, generations uint64) func() {
+		return func() {
+			d := valid()
+			d.Generation, d.Change = r.current.Generation+generations, id
+			r.current, r.version = d, r.version+generations
+		}
+	}
+	tests := map[string]struct {
+		effect, answer bool
+		after          func(*register) func()
+		before         func(*register) func()
+		want           Kind
+	}{
+		"accepted":                       {effect: true, answer: true},
+		"answer lost after the effect":   {effect: true},
+		"lost before the effect":         {want: KindUnknown},
+		"no effect, another one went in": {after: func(r *register) func() { return other(r, "theirs", 1) }, want: KindLost},
+		"effect or not, then replaced":   {effect: true, after: func(r *register) func() { return other(r, "theirs", 1) }, want: KindUnknown},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			first := valid()
+			first.Generation = 1
+			r := &register{current: first, version: 1, effect: test.effect, answer: test.answer}
+			if test.after != nil {
+				r.after = test.after(r)
+			}
+			d, err := Change(r.register(), "mine", "me", func(d *Document) { d.Preset = "q" })
+			got := Kind("")
+			var typed *Error
+			if errs.IsFunc(err, func(e error) bool { x, ok := e.(*Error); typed = x; return ok }) {
+				got = typed.Kind
+			}
+			if got != test.want {
+				t.Fatalf("got %v, want kind %q", err, test.want)
+			}
+			if err == nil && (d.Generation != 2 || r.current.Change != "mine") {
+				t.Errorf("got generation %d of %s, want 2 of mine", d.Generation, r.current.Change)
+			}
+		})
+	}
+}
+
+// TestAdoptNeverFalls adopts generations from many goroutines in any order.
+func TestAdoptNeverFalls(t *testing.T) {
+	var h Holder
+	var wait sync.WaitGroup
+	for g := range 8 {
+		wait.Go(func() {
+			last := uint64(0)
+			for i := range 1000 {
+				h.Adopt(&Document{Generation: uint64((i*7 + g*131) % 1000)})
+				if got := h.Generation(); got < last {
+					t.Errorf("got generation %d after %d", got, last)
+				} else {
+					last = got
+				}
+			}
+		})
+	}
+	wait.Wait()
+	if got := h.Generation(); got != 999 {
+		t.Errorf("got generation %d at the end, want 999", got)
+	}
+}
--- a/entry/admin.go
+++ b/entry/admin.go
@@ -1,12 +1,15 @@
 package entry
 
 import (
+	"bytes"
 	"crypto/subtle"
 	"encoding/json"
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/pprofhandler"
 
+	"cactustide/usage"
 	"cactustide/wire"
 )
 
@@ -18,6 +21,7 @@
 	PathStatus  = "/status"
 	PathBurn    = "/burn"
 	PathUsage   = "/usage"
+	pathProfile = "/debug/pprof"
 )
 
 // Status is what an entry tells operators of itself and its agents.
@@ -78,13 +82,17 @@
 		ctx.Error("wrong operator token", fasthttp.StatusUnauthorized)
 		return
 	}
+	if bytes.HasPrefix(ctx.Path(), []byte(pathProfile)) {
+		pprofhandler.PprofHandler(ctx)
+		return
+	}
 	switch string(ctx.Path()) {
 	case PathStatus:
 		writeJSON(ctx, e.status(time.Now()))
 	case PathBurn:
 		writeJSON(ctx, e.burnLines(time.Now()))
 	case PathUsage:
-		writeJSON(ctx, e.book.Lines())
+		writeJSON(ctx, usage.Settle(e.book.Lines()))
 	default:
 		ctx.Error("not found", fasthttp.StatusNotFound)
 	}
--- a/entry/call.go
+++ b/entry/call.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"io"
 	"net"
 	"syscall"
 	"time"
@@ -74,8 +75,8 @@
 	unsent bool
 }
 
-// open sends a job to an agent.
-func (e *Entry) open(agent, address string, job *wire.Job) (*call, error) {
+// send sends a job to an agent.
+func (e *Entry) send(agent, address string, job *wire.Job) (*call, error) {
 	data, err := proto.Marshal(job)
 	if err != nil {
 		return &call{agent: agent, unsent: true}, err
@@ -124,6 +125,13 @@
 	}
 }
 
+// finish ends a call whose last frame was read. It reads the end of the answer
+// as well, so that the connection can be used again.
+func (c *call) finish() {
+	_, _ = io.Copy(io.Discard, c.reader)
+	c.close()
+}
+
 // close ends the call. If the answer was not read to its end, the connection
 // closes, which is how the agent learns that the job is cancelled.
 func (c *call) close() {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,7 +16,6 @@
 	"github.com/uber-go/tally/v4"
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
-	"google.golang.org/protobuf/proto"
 
 	"cactustide/burn"
 	"cactustide/config"
@@ -53,6 +52,8 @@
 func (e *Error) Unwrap() error { return e.Err }
 
 const (
+	// staleSyncs is how many syncs an agent may miss before it gets no work.
+	staleSyncs    = 6
 	watchWait     = 30 * time.Second
 	watchRetry    = 500 * time.Millisecond
 	usageInterval = 5 * time.Second
@@ -65,9 +66,6 @@
 // DocumentKey is the key of the configuration document below the prefix.
 const DocumentKey = "/document"
 
-// UsageKey starts the keys of usage below the prefix.
-const UsageKey = "/usage/"
-
 // Entry is the daemon's state.
 type Entry struct {
 	settings *setup.Settings
@@ -110,7 +108,7 @@
 		scrape:   m.Scrape,
 		platform: store.New(s.Platform),
 		jobs:     newJobClient(s.Progress),
-		table:    route.New(),
+		table:    route.New(staleSyncs * s.Sync),
 		marks:    retry.NewMarks(),
 		budget:   retry.NewBudget(),
 		limits:   newLimits(),
@@ -155,12 +153,13 @@
 	}
 	e.callers = &fasthttp.Server{
 		Name:               serverName,
+		Logger:             e.log,
 		Handler:            e.handle,
 		ErrorHandler:       e.handleError,
 		MaxRequestBodySize: int(e.settings.Body),
 		CloseOnShutdown:    true,
 	}
-	e.admin = &fasthttp.Server{Name: serverName, Handler: e.handleAdmin, CloseOnShutdown: true}
+	e.admin = &fasthttp.Server{Name: serverName, Logger: e.log, Handler: e.handleAdmin, CloseOnShutdown: true}
 	e.serving.Go(func() {
 		if e.settings.Cert != "" {
 			_ = e.callers.ServeTLS(callers, e.settings.Cert, e.settings.Key)
@@ -232,8 +231,7 @@
 	e.kickLinks()
 }
 
-// writeUsage keeps this process's counters in the platform's service. They are
-// cumulative, so that a lost answer or a repeated write changes nothing.
+// writeUsage keeps this process's counters in the platform's service.
 func (e *Entry) writeUsage(ctx context.Context) error {
 	for {
 		select {
@@ -246,16 +244,7 @@
 }
 
 func (e *Entry) flushUsage() {
-	lines := e.book.Lines()
-	if len(lines) == 0 {
-		return
-	}
-	data, err := proto.Marshal(wire.UsageTo(e.process, lines))
-	if err != nil {
-		e.log.Errorf("usage: %v", err)
-		return
-	}
-	if err := e.platform.Put(e.settings.Prefix+UsageKey+e.process, data); err != nil {
+	if err := wire.PutUsage(e.platform.Put, e.settings.Prefix, e.process, e.book.Lines()); err != nil {
 		e.log.Warnf("usage not written: %v", err)
 	}
 }
--- a/entry/handle.go
+++ b/entry/handle.go
@@ -54,6 +54,7 @@
 		return
 	}
 	r.fill(e.process)
+	e.open(r)
 	if !e.limits.enter(r.member.partner, r.member.team.Name, r.member.team.Limit) {
 		e.settle(r, usage.Refused, false)
 		limitFault(r).write(ctx, r.id)
@@ -152,6 +153,7 @@
 			}
 		case wire.Kind_END:
 			e.learn(f.GetState())
+			out.stream.finish()
 			if f.GetRun() == wire.Run_DONE && events.Done {
 				e.endStream(r, usage.Done, events.Count, r.metStream(first, time.Now(), events.Count))
 				return
@@ -208,7 +210,13 @@
 		count.Attained = 1
 	}
 	class := r.class.Name
-	e.book.Add(usage.Key{Partner: r.member.partner, Team: r.member.team.Name, Class: class, Outcome: outcome}, count)
+	e.book.Add(e.usageKey(r, outcome), count)
+	if r.sent {
+		e.book.Add(e.usageKey(r, usage.Sent), usage.Count{Requests: 1})
+	}
+	if r.opened {
+		e.book.Add(e.usageKey(r, usage.Open), usage.Count{Requests: -1})
+	}
 	if outcome != usage.Invalid && outcome != usage.Cancelled {
 		e.burn.Add(now, class, met)
 	}
@@ -220,6 +228,16 @@
 	}
 }
 
+// open counts a request as in progress until it is settled.
+func (e *Entry) open(r *request) {
+	r.opened = true
+	e.book.Add(e.usageKey(r, usage.Open), usage.Count{Requests: 1})
+}
+
+func (e *Entry) usageKey(r *request, outcome usage.Outcome) usage.Key {
+	return usage.Key{Entry: e.process, Partner: r.member.partner, Team: r.member.team.Name, Class: r.class.Name, Outcome: outcome}
+}
+
 // writeModels lists the models in the published form.
 func (e *Entry) writeModels(ctx *fasthttp.RequestCtx, id string) {
 	type model struct {
--- a/entry/links.go
+++ b/entry/links.go
@@ -13,7 +13,6 @@
 )
 
 const (
-	syncInterval = 500 * time.Millisecond
 	syncLimit    = time.Second
 	hostInterval = 2 * time.Second
 	// agentService is the name of agents in the platform's list of hosts.
@@ -127,7 +126,7 @@
 
 func (e *Entry) runLink(ctx context.Context, l *link) {
 	defer l.client.Close()
-	ticker := time.NewTicker(syncInterval)
+	ticker := time.NewTicker(e.settings.Sync)
 	defer ticker.Stop()
 	for {
 		e.syncWith(l)
--- a/entry/request.go
+++ b/entry/request.go
@@ -31,6 +31,10 @@
 	job     *wire.Job
 	want    route.Want
 	arrived time.Time
+	// sent means that an agent had the request.
+	sent bool
+	// opened means that the request is counted as in progress.
+	opened bool
 	// settled guards against counting a request twice.
 	settled bool
 	// tokens and wasted of all attempts.
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -61,7 +61,7 @@
 			break
 		}
 		r.job.Id = r.id + "-" + strconv.Itoa(try)
-		r.job.Again = try > 0
+		r.job.Again = r.sent
 		out := e.try(r, name, address, conn)
 		if out.answer != nil {
 			out.answer.fault = out.answer.fault.orBroken(mayHaveRun)
@@ -132,11 +132,12 @@
 // try sends the job to one agent and waits for the answer's start.
 func (e *Entry) try(r *request, name, address string, conn net.Conn) attempt {
 	gone := func() bool { return isGone(conn) }
-	c, err := e.open(name, address, r.job)
+	c, err := e.send(name, address, r.job)
 	if err != nil {
 		e.log.With("request", r.job.GetId()).Infof("no answer from %s: %v", name, err)
 		return attempt{silent: true, unsent: c.unsent}
 	}
+	r.sent = true
 	out := &answer{}
 	for {
 		f, err := c.next(gone)
@@ -162,10 +163,10 @@
 			}
 			out.body = append(out.body, f.GetData()...)
 		case wire.Kind_END:
-			c.close()
+			c.finish()
 			return e.endOf(r, out, f)
 		case wire.Kind_REFUSE:
-			c.close()
+			c.finish()
 			return refused(f)
 		}
 	}
--- a/fakes/engine.go
+++ b/fakes/engine.go
@@ -68,6 +68,13 @@
 // Generated returns the number of tokens generated.
 func (e *Engine) Generated() int64 { return e.generated.Load() }
 
+// Running returns the number of requests that hold a slot.
+func (e *Engine) Running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.running
+}
+
 // Started returns the number of requests started.
 func (e *Engine) Started() int64 { return e.started.Load() }
 
--- a/fakes/kv.go
+++ b/fakes/kv.go
@@ -176,11 +176,8 @@
 	kv.mu.Lock()
 	var entries []kvEntry
 	seen := kv.index
-	for name, v := range kv.values {
-		under := args.Has("recurse") && strings.HasPrefix(name, key)
-		if name != key && !under {
-			continue
-		}
+	for _, name := range kv.names(key, args.Has("recurse")) {
+		v := kv.values[name]
 		data, index := v.data, v.index
 		if stale && v.was > 0 {
 			data, index = v.old, v.was
@@ -200,6 +197,23 @@
 	ctx.SetBody(data)
 }
 
+// names returns the keys that a read concerns.
+func (kv *KV) names(key string, recurse bool) []string {
+	if !recurse {
+		if _, ok := kv.values[key]; ok {
+			return []string{key}
+		}
+		return nil
+	}
+	var out []string
+	for name := range kv.values {
+		if strings.HasPrefix(name, key) {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
 // waitFor returns when the key has changed since an index, or after wait. An
 // absent key waits for the whole service's next write.
 func (kv *KV) waitFor(key string, after uint64, wait time.Duration) {
--- /dev/null
+++ b/lab/caller.go
@@ -0,0 +1,156 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/valyala/fasthttp"
+)
+
+var errIncomplete = errors.New("the answer was not whole")
+
+// caller sends requests as callers do.
+type caller struct {
+	client *http.Client
+	light  *fasthttp.Client
+	base   string
+}
+
+func newCaller(address string) *caller {
+	return &caller{
+		client: &http.Client{Transport: &http.Transport{MaxIdleConns: 1 << 14, MaxIdleConnsPerHost: 1 << 14}},
+		light:  &fasthttp.Client{MaxConnsPerHost: 1 << 12},
+		base:   "http://" + address,
+	}
+}
+
+// timing is what one stream measured.
+type timing struct {
+	first time.Duration
+	gaps  []time.Duration
+}
+
+// unary sends a short chat completion by the lighter client library, so that the
+// load tool takes less of the machine.
+func (c *caller) unary(content string) error {
+	req := fasthttp.AcquireRequest()
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI(c.base + "/v1/chat/completions")
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+callerKey)
+	req.SetBodyString(fmt.Sprintf(`{"model":"birch","messages":[{"role":"user","content":%q}]}`, content))
+	if err := c.light.Do(req, resp); err != nil {
+		return err
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return fmt.Errorf("status %d: %s", resp.StatusCode(), resp.Body())
+	}
+	return nil
+}
+
+// chat sends a chat completion and reads it to its end.
+func (c *caller) chat(class, content string, stream bool) (timing, error) {
+	body := fmt.Sprintf(`{"model":"birch","stream":%v,"service_tier":%q,"messages":[{"role":"user","content":%q}]}`, stream, class, content)
+	begin := time.Now()
+	req, err := http.NewRequest(http.MethodPost, c.base+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		return timing{}, err
+	}
+	req.Header.Set("Authorization", "Bearer "+callerKey)
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return timing{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(resp.Body)
+		return timing{}, fmt.Errorf("status %d: %s", resp.StatusCode, text)
+	}
+	if !stream {
+		_, err := io.Copy(io.Discard, resp.Body)
+		return timing{first: time.Since(begin)}, err
+	}
+	return readEvents(resp.Body, begin)
+}
+
+func readEvents(body io.Reader, begin time.Time) (timing, error) {
+	var t timing
+	var last time.Time
+	scanner := bufio.NewScanner(body)
+	for scanner.Scan() {
+		data, ok := bytes.CutPrefix(scanner.Bytes(), []byte("data: "))
+		if !ok {
+			continue
+		}
+		if bytes.Equal(data, []byte("[DONE]")) {
+			return t, nil
+		}
+		now := time.Now()
+		if last.IsZero() {
+			t.first = now.Sub(begin)
+		} else {
+			t.gaps = append(t.gaps, now.Sub(last))
+		}
+		last = now
+	}
+	return t, errIncomplete
+}
+
+// parallel runs n calls on some goroutines, and returns the first error.
+func parallel(n, goroutines int, call func(i int) error) error {
+	var next atomic.Int64
+	var failed atomic.Value
+	var wait sync.WaitGroup
+	for range goroutines {
+		wait.Go(func() {
+			for {
+				i := int(next.Add(1)) - 1
+				if i >= n {
+					return
+				}
+				if err := call(i); err != nil {
+					failed.CompareAndSwap(nil, err)
+				}
+			}
+		})
+	}
+	wait.Wait()
+	if err, ok := failed.Load().(error); ok {
+		return err
+	}
+	return nil
+}
+
+// histogram counts latencies from many goroutines, microseconds.
+type histogram struct {
+	mu   sync.Mutex
+	hist *hdrhistogram.Histogram
+}
+
+func newHistogram() *histogram {
+	return &histogram{hist: hdrhistogram.New(1, time.Minute.Microseconds(), 3)}
+}
+
+func (h *histogram) add(d time.Duration) {
+	h.mu.Lock()
+	_ = h.hist.RecordValue(max(1, d.Microseconds()))
+	h.mu.Unlock()
+}
+
+// quantile returns a quantile in milliseconds.
+func (h *histogram) quantile(q float64) float64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return float64(h.hist.ValueAtQuantile(q)) / 1000
+}
--- /dev/null
+++ b/lab/fit.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"encoding/json"
+	"math"
+	"os"
+)
+
+// Point is one measurement.
+type Point struct {
+	Size  float64 `json:"size"`
+	Value float64 `json:"value"`
+}
+
+// Series is a slope: a value measured at several sizes, with its line.
+type Series struct {
+	Name string `json:"name"`
+	// Unit of the slope.
+	Unit   string  `json:"unit"`
+	Points []Point `json:"points"`
+	Slope  float64 `json:"slope"`
+	Base   float64 `json:"base"`
+	// Residual is the largest distance of a point from the line, over the
+	// largest value.
+	Residual float64 `json:"residual"`
+}
+
+// fit lays the least-squares line through the points.
+func (s *Series) fit() {
+	n, sx, sy, sxx, sxy := 0.0, 0.0, 0.0, 0.0, 0.0
+	for _, p := range s.Points {
+		n++
+		sx += p.Size
+		sy += p.Value
+		sxx += p.Size * p.Size
+		sxy += p.Size * p.Value
+	}
+	s.Slope = (n*sxy - sx*sy) / (n*sxx - sx*sx)
+	s.Base = (sy - s.Slope*sx) / n
+	largest, off := 0.0, 0.0
+	for _, p := range s.Points {
+		largest = max(largest, math.Abs(p.Value))
+		off = max(off, math.Abs(p.Value-s.Base-s.Slope*p.Size))
+	}
+	if largest > 0 {
+		s.Residual = off / largest
+	}
+}
+
+// Measurements is the content of a measurement file.
+type Measurements struct {
+	Series []*Series `json:"series"`
+}
+
+func (m *Measurements) add(name, unit string, points []Point) {
+	s := &Series{Name: name, Unit: unit, Points: points}
+	s.fit()
+	m.Series = append(m.Series, s)
+}
+
+func (m *Measurements) find(name string) *Series {
+	for _, s := range m.Series {
+		if s.Name == name {
+			return s
+		}
+	}
+	return &Series{Name: name}
+}
+
+func (m *Measurements) write(file string) error {
+	data, err := json.MarshalIndent(m, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(file, append(data, '\n'), 0o644)
+}
+
+func readMeasurements(file string) (*Measurements, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	m := &Measurements{}
+	return m, json.Unmarshal(data, m)
+}
--- a/lab/ports.go
+++ b/lab/ports.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net"
+
+	"cactustide/fakes"
 )
 
 // newPorts prints free TCP ports, for scripts that start processes.
@@ -11,17 +13,12 @@
 	count := 1
 	parser.Int(&count, "n", "count", "how many")
 	return command{parser: parser, run: func() error {
-		var open []net.Listener
 		for range count {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
+			_, port, err := net.SplitHostPort(fakes.FreeAddress())
 			if err != nil {
 				return err
 			}
-			open = append(open, l)
-			fmt.Println(l.Addr().(*net.TCPAddr).Port)
-		}
-		for _, l := range open {
-			_ = l.Close()
+			fmt.Println(port)
 		}
 		return nil
 	}}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -2,6 +2,7 @@
 package meter
 
 import (
+	"fmt"
 	"io"
 	"time"
 
@@ -83,6 +84,16 @@
 // Debugf logs what helps while searching a fault.
 func (l *Log) Debugf(format string, args ...any) { l.entry.Debugf(l.prefix+format, args...) }
 
+// maxLibraryLine bounds what a library's message may put into the log: it may
+// quote what a peer sent, bytes.
+const maxLibraryLine = 120
+
+// Printf takes the messages of the HTTP library.
+func (l *Log) Printf(format string, args ...any) {
+	line := fmt.Sprintf(format, args...)
+	l.entry.Debug(l.prefix + line[:min(maxLibraryLine, len(line))])
+}
+
 // Infof logs an event of ordinary operation.
 func (l *Log) Infof(format string, args ...any) { l.entry.Infof(l.prefix+format, args...) }
 
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -161,6 +161,9 @@
 	s.mu.Unlock()
 }
 
+// Address returns the address that the server listens on.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
 // Close stops accepting, closes the connections and waits for their calls.
 func (s *Server) Close() {
 	_ = s.listener.Close()
--- /dev/null
+++ b/route/route_test.go
@@ -0,0 +1,129 @@
+package route
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+var now = time.Unix(100, 0)
+
+func agent(name string, edit func(*Agent)) Agent {
+	a := Agent{Name: name, Incarnation: 1, Centre: "c", Model: "m", Slots: 4, Room: 4, Healthy: true}
+	if edit != nil {
+		edit(&a)
+	}
+	return a
+}
+
+// TestChooseEligible checks that only agents that may run a request get it.
+func TestChooseEligible(t *testing.T) {
+	tests := map[string]struct {
+		edit  func(*Agent)
+		avoid bool
+		age   time.Duration
+		tier  int
+		want  bool
+	}{
+		"free":             {want: true},
+		"draining":         {edit: func(a *Agent) { a.Drain = true }},
+		"down":             {edit: func(a *Agent) { a.Healthy = false }},
+		"other model":      {edit: func(a *Agent) { a.Model = "x" }},
+		"a plain service":  {edit: func(a *Agent) { a.Service = "s" }},
+		"refused before":   {avoid: true},
+		"not heard of":     {age: 3 * time.Second},
+		"full, asked last": {edit: func(a *Agent) { a.Running, a.Room = 4, 0 }, want: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			table := New(3 * time.Second)
+			table.Update(now, agent("a", test.edit))
+			w := Want{Model: "m", Tier: test.tier, Avoid: map[string]bool{"a": test.avoid}}
+			if _, got := table.Choose(now.Add(test.age), w, rand.IntN); got != test.want {
+				t.Errorf("got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+// TestChooseAdmitting checks that a full agent with lower-tier work comes before
+// one without.
+func TestChooseAdmitting(t *testing.T) {
+	table := New(3 * time.Second)
+	full := func(a *Agent) { a.Running, a.Room = 4, 0; a.Queued[1] = 4 }
+	table.Update(now, agent("same", full))
+	table.Update(now, agent("lower", func(a *Agent) { full(a); a.Queued[5] = 1 }))
+	for range 20 {
+		if got, _ := table.Choose(now, Want{Model: "m", Tier: 1}, rand.IntN); got != "lower" {
+			t.Fatalf("got %q, want the agent that can evict lower-tier work", got)
+		}
+	}
+}
+
+// TestUpdateIgnoresReplaced checks that a lower incarnation has no say.
+func TestUpdateIgnoresReplaced(t *testing.T) {
+	table := New(3 * time.Second)
+	table.Update(now, agent("a", func(a *Agent) { a.Incarnation = 2; a.Drain = true }))
+	if table.Update(now, agent("a", nil)) {
+		t.Error("got the replaced process's state taken, want it ignored")
+	}
+	if _, ok := table.Choose(now, Want{Model: "m"}, rand.IntN); ok {
+		t.Error("got the draining agent chosen, want none")
+	}
+}
+
+// TestStragglerProbed checks that a straggler gets few requests, but some.
+func TestStragglerProbed(t *testing.T) {
+	table := New(3 * time.Second)
+	counts := map[string]int{}
+	for range 2000 {
+		for i := range 4 {
+			pace := time.Millisecond
+			if i == 0 {
+				pace = 10 * time.Millisecond
+			}
+			table.Update(now, agent(fmt.Sprint("a", i), func(a *Agent) { a.Pace = pace; a.Slots = 100 }))
+		}
+		name, _ := table.Choose(now, Want{Model: "m", Tier: 5}, rand.IntN)
+		counts[name]++
+	}
+	if got := counts["a0"]; got == 0 || got > 2000/16 {
+		t.Errorf("got %d of 2000 at the straggler, want some, at most %d", got, 2000/16)
+	}
+}
+
+// TestSubset checks that subsets are even and change little.
+func TestSubset(t *testing.T) {
+	var agents []string
+	for i := range 200 {
+		agents = append(agents, fmt.Sprintf("agent-%03d", i))
+	}
+	known := map[string]int{}
+	for e := range 100 {
+		entry := fmt.Sprint("entry-", e)
+		before := Subset(entry, agents, 20)
+		if got := len(before); got != 20 {
+			t.Fatalf("got %d agents, want 20", got)
+		}
+		after := map[string]bool{}
+		for _, a := range Subset(entry, agents[1:], 20) {
+			after[a] = true
+		}
+		changed := 0
+		for _, a := range before {
+			known[a]++
+			if !after[a] {
+				changed++
+			}
+		}
+		if changed > 1 {
+			t.Errorf("got %d changes after one agent left, want at most 1", changed)
+		}
+	}
+	for _, a := range agents {
+		if got := known[a]; got == 0 || got > 30 {
+			t.Errorf("%s: got %d of 100 entries, want about 10", a, got)
+		}
+	}
+}
--- a/route/table.go
+++ b/route/table.go
@@ -15,8 +15,6 @@
 )
 
 const (
-	// staleAfter is the age at which an agent's state is no longer trusted.
-	staleAfter = 3 * time.Second
 	// stragglerFactor is the ratio to the median pace of its model above which
 	// an upstream counts as a straggler.
 	stragglerFactor = 2.0
@@ -72,11 +70,14 @@
 type Table struct {
 	mu     sync.Mutex
 	agents map[string]*member
+	// stale is the age at which an agent's state is no longer trusted.
+	stale time.Duration
 }
 
-// New returns an empty table.
-func New() *Table {
-	return &Table{agents: map[string]*member{}}
+// New returns an empty table. Agents not heard of for as long as stale get no
+// work.
+func New(stale time.Duration) *Table {
+	return &Table{agents: map[string]*member{}, stale: stale}
 }
 
 // Update records what an agent said. A lower incarnation than one already
@@ -175,7 +176,7 @@
 func (t *Table) candidates(now time.Time, w Want) []*member {
 	var all, admitting []*member
 	for _, m := range t.agents {
-		if !m.mayRun(now, w) {
+		if !m.mayRun(w) || now.Sub(m.seen) >= t.stale {
 			continue
 		}
 		all = append(all, m)
@@ -191,10 +192,9 @@
 	return all
 }
 
-func (m *member) mayRun(now time.Time, w Want) bool {
+func (m *member) mayRun(w Want) bool {
 	return m.Model == w.Model && m.Service == w.Service &&
-		!m.Drain && !m.leaving && m.Healthy && !w.Avoid[m.Name] &&
-		now.Sub(m.seen) < staleAfter
+		!m.Drain && !m.leaving && m.Healthy && !w.Avoid[m.Name]
 }
 
 // admits reports whether the agent has room, or lower-tier work to evict.
--- a/setup/settings.go
+++ b/setup/settings.go
@@ -22,6 +22,7 @@
 	DefaultSlots    = 8
 	DefaultQueue    = 256
 	DefaultAgents   = 64
+	DefaultSync     = 500 * time.Millisecond
 )
 
 // Kinds of upstreams.
@@ -79,7 +80,9 @@
 	// Stop is how long a planned stop waits for requests in progress.
 	Stop time.Duration
 	// Agents bounds the agents that an entry keeps connections to.
-	Agents   int
+	Agents int
+	// Sync is the time between two syncs with an agent.
+	Sync     time.Duration
 	Upstream Upstream
 	// Admins are the admin addresses that ctl asks.
 	Admins []string
@@ -116,6 +119,7 @@
 	setDefault(&s.Progress, DefaultProgress)
 	setDefault(&s.Stop, DefaultStop)
 	setDefault(&s.Agents, DefaultAgents)
+	setDefault(&s.Sync, DefaultSync)
 	setDefault(&s.Upstream.Slots, DefaultSlots)
 	setDefault(&s.Upstream.Queue, DefaultQueue)
 	if v := getenv(EnvToken); v != "" {
@@ -204,6 +208,7 @@
 	c.checkPositive("limits.progress", int64(s.Progress))
 	c.checkPositive("limits.stop", int64(s.Stop))
 	c.checkPositive("limits.agents", int64(s.Agents))
+	c.checkPositive("limits.sync", int64(s.Sync))
 	if (s.Cert == "") != (s.Key == "") {
 		c.add("tls", "cert and key go together")
 	}
--- /dev/null
+++ b/tests/account_test.go
@@ -0,0 +1,194 @@
+package tests
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"cactustide/fakes"
+	"cactustide/store"
+	"cactustide/usage"
+	"cactustide/wire"
+)
+
+// written returns the requests by partner and outcome that the platform's
+// service holds, settled as the operators' client does.
+func (s *stack) written() map[string]int64 {
+	s.t.Helper()
+	pairs, err := store.New(s.kv.Address()).List("cactustide" + wire.UsageKey)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	var books [][]usage.Line
+	for _, p := range pairs {
+		_, lines, err := wire.DecodeUsage(p.Value)
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		books = append(books, lines)
+	}
+	out := map[string]int64{}
+	for _, l := range usage.Settle(slices.Concat(books...)) {
+		out[l.Partner] += l.Requests
+		out[l.Partner+" "+string(l.Outcome)] += l.Requests
+	}
+	return out
+}
+
+// TestAccounting counts under faults. Each request that reached an entry is
+// counted once for its partner; an entry's death turns its requests in progress
+// into open ones, which the agents' counts show.
+func TestAccounting(t *testing.T) {
+	seed := uint64(11)
+	t.Logf("seed %d", seed)
+	s := newStack(t, stackOptions{entries: 2, engines: 2, plains: 2, slots: 16, queue: 64, progress: "700ms", work: 5 * time.Millisecond, seed: seed, engine: fakes.EngineOptions{Pace: 2 * time.Millisecond}})
+	random := rand.New(rand.NewPCG(seed, 1))
+	var offered [2]atomic.Int64
+	done := make(chan struct{})
+	var wait sync.WaitGroup
+	for c := range 12 {
+		wait.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-done:
+					return
+				default:
+				}
+				e := s.entries[i%2]
+				var r reply
+				if c%2 == 0 {
+					offered[0].Add(1)
+					r = s.chat(e, fmt.Sprintf("count %d %d tokens=5 ", c, i), i%3 == 0, 20*time.Second)
+				} else {
+					offered[1].Add(1)
+					r = s.action(e, fmt.Sprintf("count-%d-%d", c, i), 20*time.Second)
+				}
+				if r.err != nil {
+					t.Errorf("got %v, want an answer: both entries are up", r.err)
+				}
+			}
+		})
+	}
+	for range 4 {
+		time.Sleep(300 * time.Millisecond)
+		onceFaults["agent killed"](s, random)
+		onceFaults["answers lost"](s, random)
+		onceFaults["agent frozen"](s, random)
+		onceFaults["platform down"](s, random)
+	}
+	close(done)
+	wait.Wait()
+	want := map[string]int64{"eisklang": offered[0].Load(), "gyeongnam": offered[1].Load()}
+	for i, e := range s.entries {
+		for partner, n := range s.usage(e) {
+			if _, ok := want[partner]; ok {
+				want[partner] -= n
+			}
+			t.Logf("entry %d: %s %d", i, partner, n)
+		}
+	}
+	for partner, missing := range want {
+		if missing != 0 {
+			t.Errorf("%s: got %d requests not counted, want none", partner, missing)
+		}
+	}
+
+	// Long streams, and an entry that dies under them.
+	s.waitFor("all is written", 10*time.Second, func() bool {
+		w := s.written()
+		return w["eisklang"] == offered[0].Load() && w["eisklang open"] == 0
+	})
+	before := s.written()
+	const open = 10
+	var streams sync.WaitGroup
+	for i := range open {
+		streams.Go(func() {
+			resp, err := s.openStream(context.Background(), s.entries[0], eisklangKey, "question", fmt.Sprintf("open %d tokens=2000 ", i))
+			if err == nil {
+				readStream(resp)
+				_ = resp.Body.Close()
+			}
+		})
+	}
+	s.waitFor("streams running", 5*time.Second, func() bool { return s.engines[0].Running()+s.engines[1].Running() >= open })
+	time.Sleep(6 * time.Second) // Both write their counts every five seconds.
+	s.entries[0].kill()
+	streams.Wait()
+	time.Sleep(6 * time.Second)
+	after := s.written()
+	t.Logf("before %v, after %v", before, after)
+	if got := after["eisklang open"] - before["eisklang open"]; got < open {
+		t.Errorf("got %d open requests after the entry's death, want %d", got, open)
+	}
+	if got := after["eisklang"]; got != offered[0].Load()+open {
+		t.Errorf("got %d requests in all, want %d", got, offered[0].Load()+open)
+	}
+}
+
+// TestPlatformOutage takes the platform down under load. Repeatable traffic goes
+// on, actions are refused as not run, and all recovers without a person.
+func TestPlatformOutage(t *testing.T) {
+	s := newStack(t, stackOptions{entries: 2, engines: 2, plains: 1, slots: 16, queue: 64, edit: longWaits, engine: fakes.EngineOptions{Pace: 2 * time.Millisecond}})
+	load := startStreams(t, s, 8)
+	s.kv.SetFaults(fakes.KVFaults{Down: true})
+	end := time.Now().Add(6 * time.Second)
+	refused := 0
+	for i := 0; time.Now().Before(end); i++ {
+		r := s.action(s.entries[i%2], fmt.Sprint("outage-", i), 10*time.Second)
+		if r.status != http.StatusServiceUnavailable || r.run != "none" {
+			t.Errorf("got %d %s, want 503 and none", r.status, r.run)
+		}
+		refused++
+		time.Sleep(200 * time.Millisecond)
+	}
+	if got := len(s.plains[0].All()); got != 0 {
+		t.Errorf("got %d actions run during the outage, want none", got)
+	}
+	s.agents[0].kill()
+	s.agents[0].start() // A restart in the middle, too.
+	time.Sleep(time.Second)
+	s.kv.SetFaults(fakes.KVFaults{})
+	s.waitFor("actions run again", 10*time.Second, func() bool {
+		return s.action(s.entries[0], fmt.Sprint("after-", time.Now().UnixNano()), 10*time.Second).status == http.StatusOK
+	})
+	load.stop()
+	t.Logf("%d whole, %d broken by the killed agent, %d not accepted; %d actions refused", load.whole.Load(), load.broken.Load(), load.unaccepted.Load(), refused)
+	if load.unaccepted.Load() > 0 || load.broken.Load() > 8 {
+		t.Errorf("got %d refused and %d broken streams, want none refused and at most the 8 of the killed agent", load.unaccepted.Load(), load.broken.Load())
+	}
+}
+
+// TestCallerLeaves checks that a caller that goes away cancels its request, in
+// the queue and while it runs.
+func TestCallerLeaves(t *testing.T) {
+	s := newStack(t, stackOptions{entries: 1, engines: 1, slots: 1, queue: 16, edit: longWaits, engine: fakes.EngineOptions{Pace: 10 * time.Millisecond}})
+	ctx, cancel := context.WithCancel(context.Background())
+	running, err := s.openStream(ctx, s.entries[0], eisklangKey, "question", "running tokens=100000 ")
+	if err != nil {
+		t.Fatal(err)
+	}
+	queued := make(chan struct{})
+	queueCtx, leave := context.WithTimeout(context.Background(), 500*time.Millisecond)
+	defer leave()
+	go func() {
+		defer close(queued)
+		if resp, err := s.openStream(queueCtx, s.entries[0], eisklangKey, "question", "queued tokens=5 "); err == nil {
+			_ = resp.Body.Close()
+		}
+	}()
+	<-queued
+	time.Sleep(time.Second)
+	cancel()
+	_ = running.Body.Close()
+	s.waitFor("the engine is idle", 3*time.Second, func() bool { return s.engines[0].Running() == 0 })
+	if got := s.engines[0].Started(); got != 1 {
+		t.Errorf("got %d requests at the engine, want 1: the queued one's caller had left", got)
+	}
+	s.waitFor("both counted as cancelled", 3*time.Second, func() bool { return s.usage(s.entries[0])["eisklang/cancelled"] == 2 })
+}
--- a/tests/stack_test.go
+++ b/tests/stack_test.go
@@ -262,20 +262,10 @@
 	}
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 func (s *stack) newProcess(role, name string, settings string) *process {
 	p := &process{
 		t: s.t, role: role, name: name, log: &bytes.Buffer{}, file: filepath.Join(s.dir, name+".yaml"),
-		listen: freeAddress(s.t), peer: freeAddress(s.t), admin: freeAddress(s.t),
+		listen: fakes.FreeAddress(), peer: fakes.FreeAddress(), admin: fakes.FreeAddress(),
 	}
 	text := fmt.Sprintf("name: %s\ncentre: ibk-1\nlisten: %s\nadmin: %s\ntoken: t\noperator: o\n%s", name, p.listen, p.admin, settings)
 	if role == "agent" {
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -27,10 +27,22 @@
 	Cancelled Outcome = "cancelled"
 	// Invalid: the request was at fault.
 	Invalid Outcome = "invalid"
+	// Open: the request is not settled. It is in progress, or its entry died.
+	Open Outcome = "open"
+)
+
+// Marks that are counted beside the outcomes, to find open requests.
+const (
+	// Seen is counted by an agent for each request that is new to the system.
+	Seen Outcome = "seen"
+	// Sent is counted by an entry with the outcome of a request that an agent had.
+	Sent Outcome = "sent"
 )
 
 // Key names one counter.
 type Key struct {
+	// Entry is the entry process that the requests came through.
+	Entry   string
 	Partner string
 	Team    string
 	Class   string
@@ -123,12 +135,39 @@
 	})
 }
 
-// Sum adds up the lines of several processes.
-func Sum(books ...[]Line) []Line {
+// Settle adds the lines of several processes up over entries. The marks Seen and
+// Sent give a lower bound of each entry's open requests, its own count another;
+// the larger one stands. An entry that died has written neither the end of its
+// last requests nor, perhaps, their beginning, but the agents saw them.
+func Settle(lines []Line) []Line {
+	type marks struct{ seen, sent, open int64 }
+	byEntry := map[Key]*marks{}
 	total := New()
-	for _, lines := range books {
-		for _, l := range lines {
-			total.Add(l.Key, l.Count)
+	for _, l := range lines {
+		key := l.Key
+		key.Outcome = Open
+		m, ok := byEntry[key]
+		if !ok {
+			m = &marks{}
+			byEntry[key] = m
+		}
+		switch l.Outcome {
+		case Seen:
+			m.seen += l.Requests
+		case Sent:
+			m.sent += l.Requests
+		case Open:
+			m.open += l.Requests
+		default:
+			key = l.Key
+			key.Entry = ""
+			total.Add(key, l.Count)
+		}
+	}
+	for key, m := range byEntry {
+		if n := max(m.open, m.seen-m.sent); n > 0 {
+			key.Entry = ""
+			total.Add(key, Count{Requests: n})
 		}
 	}
 	return total.Lines()
--- a/wire/document.go
+++ b/wire/document.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"regexp"
+	"strconv"
 	"time"
 
+	"github.com/zeebo/errs"
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 	"sigs.k8s.io/yaml"
@@ -52,11 +55,31 @@
 		return &Error{Op: op, Kind: KindSyntax, Err: err}
 	}
 	if err := protojson.Unmarshal(data, into); err != nil {
-		return &Error{Op: op, Kind: KindSyntax, Err: err}
+		return &Error{Op: op, Kind: KindSyntax, Err: errs.New("at key %q: %v", keyAt(data, err), err)}
 	}
 	return nil
 }
 
+var (
+	errorColumn = regexp.MustCompile(`\(line 1:(\d+)\)`)
+	jsonKey     = regexp.MustCompile(`"(\w+)":`)
+)
+
+// keyAt returns the key at or before the place of an error. The JSON that YAML
+// became is one line, so its place alone would tell an operator nothing.
+func keyAt(data []byte, err error) string {
+	match := errorColumn.FindStringSubmatch(err.Error())
+	if match == nil {
+		return ""
+	}
+	column, _ := strconv.Atoi(match[1])
+	keys := jsonKey.FindAllSubmatch(data[:min(len(data), column)], -1)
+	if len(keys) == 0 {
+		return ""
+	}
+	return string(keys[len(keys)-1][1])
+}
+
 // ParseDocument decodes a configuration document from YAML.
 func ParseDocument(text []byte) (*config.Document, error) {
 	var m Document
--- a/wire/settings.go
+++ b/wire/settings.go
@@ -30,6 +30,7 @@
 		Progress: p.parse("limits.progress", m.GetLimits().GetProgress()),
 		Stop:     p.parse("limits.stop", m.GetLimits().GetStop()),
 		Agents:   int(m.GetLimits().GetAgents()),
+		Sync:     p.parse("limits.sync", m.GetLimits().GetSync()),
 		Upstream: upstreamFrom(m.GetUpstream()),
 		Admins:   m.GetAdmins(),
 	}
--- a/wire/usage.go
+++ b/wire/usage.go
@@ -6,11 +6,28 @@
 	"cactustide/usage"
 )
 
+// UsageKey starts the keys of usage below the prefix.
+const UsageKey = "/usage/"
+
+// PutUsage writes a process's counters under its own key. They are cumulative,
+// so that a lost answer or a repeated write changes nothing.
+func PutUsage(put func(key string, value []byte) error, prefix, process string, lines []usage.Line) error {
+	if len(lines) == 0 {
+		return nil
+	}
+	data, err := proto.Marshal(UsageTo(process, lines))
+	if err != nil {
+		return &Error{Op: "encode usage", Kind: KindCodec, Err: err}
+	}
+	return put(prefix+UsageKey+process, data)
+}
+
 // UsageTo maps counters to a message.
 func UsageTo(process string, lines []usage.Line) *Usage {
 	m := &Usage{Process: process}
 	for _, l := range lines {
 		m.Counts = append(m.Counts, &Count{
+			Entry:    l.Entry,
 			Partner:  l.Partner,
 			Team:     l.Team,
 			Class:    l.Class,
@@ -34,6 +51,7 @@
 	for _, c := range m.GetCounts() {
 		lines = append(lines, usage.Line{
 			Key: usage.Key{
+				Entry:   c.GetEntry(),
 				Partner: c.GetPartner(),
 				Team:    c.GetTeam(),
 				Class:   c.GetClass(),
--- /dev/null
+++ b/wire/wire_test.go
@@ -0,0 +1,150 @@
+package wire
+
+import (
+	"bufio"
+	"bytes"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+
+	"cactustide/config"
+	"cactustide/setup"
+)
+
+// TestExamples checks that the example files hold every key and no fault.
+func TestExamples(t *testing.T) {
+	for _, role := range []string{setup.RoleEntry, setup.RoleAgent, setup.RoleCtl} {
+		text, err := os.ReadFile("../examples/" + role + ".yaml")
+		if err != nil {
+			t.Fatal(err)
+		}
+		s, err := ParseSettings(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.FillDefaults(func(string) string { return "" })
+		if got := s.Check(role); len(got) != 0 {
+			t.Errorf("%s: got %v, want no fault", role, got)
+		}
+	}
+}
+
+// TestDocumentRoundTrip checks that the codecs lose nothing.
+func TestDocumentRoundTrip(t *testing.T) {
+	text, err := os.ReadFile("../examples/document.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	want, err := ParseDocument(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want.Generation, want.Change, want.Author = 7, "c", "me"
+	data, err := EncodeDocument(want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := DecodeDocument(data)
+	if err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v (%v), want %+v", got, err, want)
+	}
+	yaml, err := FormatDocument(want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err = ParseDocument(yaml); err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("through YAML: got %+v (%v), want %+v", got, err, want)
+	}
+}
+
+// TestParseFaults checks that bad text is refused with the key's name.
+func TestParseFaults(t *testing.T) {
+	tests := map[string]struct{ text, want string }{
+		"unknown key":  {text: "presett: x", want: "presett"},
+		"twice":        {text: "preset: a\npreset: b", want: "preset"},
+		"duration":     {text: "classes: [{name: c, target: fast}]", want: "classes[0].target"},
+		"wrong type":   {text: "classes: 3", want: "classes"},
+		"not YAML":     {text: "a: [", want: "yaml"},
+		"wrong number": {text: "classes: [{tier: high}]", want: "tier"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, err := ParseDocument([]byte(test.text))
+			if err == nil || !strings.Contains(err.Error(), test.want) {
+				t.Errorf("got %v, want an error naming %q", err, test.want)
+			}
+		})
+	}
+}
+
+// FuzzDocument checks that whatever parses can be checked and formatted.
+func FuzzDocument(f *testing.F) {
+	text, _ := os.ReadFile("../examples/document.yaml")
+	f.Add(text)
+	f.Add([]byte("classes: [{wait: 1e999s}]"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		d, err := ParseDocument(text)
+		if err != nil {
+			return
+		}
+		config.Check(d)
+		d.Effective()
+		if _, err := FormatDocument(d); err != nil {
+			t.Errorf("got %v, want the document formatted", err)
+		}
+	})
+}
+
+// FuzzSettings checks that no settings file breaks the parser or the checks.
+func FuzzSettings(f *testing.F) {
+	for _, role := range []string{"entry", "agent", "ctl"} {
+		text, _ := os.ReadFile("../examples/" + role + ".yaml")
+		f.Add(text)
+	}
+	f.Fuzz(func(_ *testing.T, text []byte) {
+		s, err := ParseSettings(text)
+		if err != nil {
+			return
+		}
+		s.FillDefaults(func(string) string { return "" })
+		s.Check(setup.RoleEntry)
+		s.Check(setup.RoleAgent)
+	})
+}
+
+// FuzzEvents checks that the pieces' borders do not matter.
+func FuzzEvents(f *testing.F) {
+	f.Add([]byte("data: {}\n\ndata: [DONE]\n\n"), 3)
+	f.Add([]byte(": comment\r\ndata:[DONE]\r\ndata: x\n"), 1)
+	f.Fuzz(func(t *testing.T, text []byte, size int) {
+		var whole, pieces Events
+		whole.Add(text)
+		size = max(1, size%16)
+		for rest := text; len(rest) > 0; {
+			n := min(size, len(rest))
+			pieces.Add(rest[:n])
+			rest = rest[n:]
+		}
+		if whole.Count != pieces.Count || whole.Done != pieces.Done {
+			t.Errorf("got %d %v in pieces, want %d %v", pieces.Count, pieces.Done, whole.Count, whole.Done)
+		}
+	})
+}
+
+// FuzzFrame checks that no bytes break the reading of frames.
+func FuzzFrame(f *testing.F) {
+	var b bytes.Buffer
+	_ = WriteFrame(&b, &Frame{Kind: Kind_END, Run: Run_DONE, State: &State{Name: "a"}})
+	f.Add(b.Bytes())
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		r := bufio.NewReader(bytes.NewReader(data))
+		for {
+			frame := &Frame{}
+			if err := ReadFrame(r, frame); err != nil {
+				return
+			}
+			AgentFrom(frame.GetState())
+		}
+	})
+}
