Drop an unused lock from a test

Cause: the linter named it; nothing else uses the register concurrently. Ruled out: a missing lock, since each case runs one change. Before: one lint issue. Conclusion: test data needs no lock.

--- a/config/config_test.go
+++ b/config/config_test.go
@@ -76,7 +76,6 @@
 
 // register is a document whose answers are lost as told.
 type register struct {
-	mu      sync.Mutex
 	current *Document
 	version uint64
 	// effect and answer say what becomes of the next write.
