--- a/agent/agent.go
+++ b/agent/agent.go
@@ -100,13 +100,8 @@
 		book:     usage.New(),
 		runs:     runs{cancels: map[string]context.CancelFunc{}},
 	}
-	a.platform.OnCall = func(op string, failed bool) {
-		m.Scope.Tagged(map[string]string{"call": op}).Counter("platform_calls").Inc(1)
-		if failed {
-			m.Scope.Tagged(map[string]string{"call": op}).Counter("platform_failures").Inc(1)
-		}
-	}
-	a.claims = NewClaims(a.platform, s.Prefix)
+	a.platform.OnCall = m.CountCall
+	a.claims = wire.NewClaims(a.platform, s.Prefix)
 	a.gate = newGate(sched.Policy{Slots: s.Upstream.Slots, Queue: s.Upstream.Queue})
 	a.servers.scrape = m.Scrape
 	return a
@@ -215,7 +210,7 @@
 
 // writeUsage keeps the counters of this process in the platform's service.
 func (a *Agent) writeUsage() {
-	if err := wire.PutUsage(a.platform.Put, a.settings.Prefix, a.process, a.book.Lines()); err != nil {
+	if err := wire.PutUsage(a.platform, a.settings.Prefix, a.process, a.book.Lines()); err != nil {
 		a.log.Warnf("usage not written: %v", err)
 	}
 }
--- a/agent/claims.go
+++ b/agent/claims.go
@@ -8,32 +8,9 @@
 	"strconv"
 	"time"
 
-	"cactustide/claim"
 	"cactustide/store"
-	"cactustide/wire"
 )
 
-// NewClaims keeps claims in the platform's service, one key for each.
-func NewClaims(c *store.Client, prefix string) claim.Store {
-	return claim.Store{
-		Read: func(key string) (claim.Record, uint64, error) {
-			pair, err := c.Get(prefix + "/claims/" + key)
-			if err != nil || pair.Version == 0 {
-				return claim.Record{}, 0, err
-			}
-			r, err := wire.DecodeClaim(pair.Value)
-			return r, pair.Version, err
-		},
-		Swap: func(key string, r claim.Record, version uint64) (bool, error) {
-			data, err := wire.EncodeClaim(r)
-			if err != nil {
-				return false, err
-			}
-			return c.Swap(prefix+"/claims/"+key, data, version)
-		},
-	}
-}
-
 // claimKey hashes partner and key, so that no caller's text gets into a path.
 func claimKey(partner, key string) string {
 	sum := sha256.Sum256([]byte(partner + "\x00" + key))
--- a/agent/lane.go
+++ b/agent/lane.go
@@ -4,9 +4,10 @@
 	"context"
 	"net"
 	"sync"
-	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"cactustide/dial"
 )
 
 // lane is one connection to the upstream, used by one request at a time, so
@@ -28,22 +29,20 @@
 		StreamResponseBody:        true,
 		NoDefaultUserAgentHeader:  true,
 		MaxIdemponentCallAttempts: 1,
-		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) {
-			return false, false
-		},
+		RetryIfErr:                dial.NeverResend,
 	}
 	return l
 }
 
 func (l *lane) dial(address string) (net.Conn, error) {
-	conn, err := net.DialTimeout("tcp", address, dialTimeout)
+	conn, err := dial.Open(address, upstreamIdle)
 	if err != nil {
 		return nil, err
 	}
 	l.mu.Lock()
 	l.conn = conn
 	l.mu.Unlock()
-	return &idleConn{Conn: conn, idle: upstreamIdle}, nil
+	return conn, nil
 }
 
 // cut closes the connection under a running request.
@@ -69,18 +68,3 @@
 		}
 	}
 }
-
-// idleConn fails a read after a time without data, so that a silent upstream
-// is noticed while a long answer is not cut.
-type idleConn struct {
-	net.Conn
-	idle time.Duration
-}
-
-// Read sets the deadline anew before each read.
-func (c *idleConn) Read(p []byte) (int, error) {
-	if err := c.SetReadDeadline(time.Now().Add(c.idle)); err != nil {
-		return 0, err
-	}
-	return c.Conn.Read(p)
-}
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -14,12 +14,12 @@
 	"github.com/valyala/fasthttp"
 
 	"cactustide/config"
+	"cactustide/dial"
 	"cactustide/setup"
 	"cactustide/wire"
 )
 
 const (
-	dialTimeout   = time.Second
 	healthTimeout = 2 * time.Second
 	// upstreamIdle is the longest silence of an upstream within a run.
 	upstreamIdle   = 2 * time.Minute
@@ -83,7 +83,7 @@
 
 // isAlive reports whether the upstream accepts connections.
 func (u *upstream) isAlive() bool {
-	conn, err := net.DialTimeout("tcp", u.Address, dialTimeout)
+	conn, err := net.DialTimeout("tcp", u.Address, dial.Timeout)
 	if err != nil {
 		return false
 	}
@@ -142,7 +142,7 @@
 	defer fasthttp.ReleaseResponse(resp)
 	u.fill(req, job, tier)
 	if err := l.client.Do(req, resp); err != nil {
-		return result{unsent: isRefused(err), err: err}
+		return result{unsent: dial.IsRefused(err), err: err}
 	}
 	defer func() { _ = resp.CloseBodyStream() }()
 	status := resp.StatusCode()
@@ -156,11 +156,6 @@
 	return u.readWhole(resp, status, kind, to)
 }
 
-func isRefused(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
-}
-
 func (u *upstream) fill(req *fasthttp.Request, job *wire.Job, tier int) {
 	req.SetRequestURI("http://" + u.Address + job.GetPath())
 	req.Header.SetMethod(job.GetMethod())
--- a/cmds/ctl.go
+++ b/cmds/ctl.go
@@ -14,7 +14,6 @@
 	"github.com/zeebo/errs"
 
 	"cactustide/config"
-	"cactustide/entry"
 	"cactustide/setup"
 	"cactustide/store"
 	"cactustide/wire"
@@ -64,24 +63,7 @@
 
 // register is the document's place in the platform's service.
 func (x *session) register() config.Register {
-	key := x.settings.Prefix + entry.DocumentKey
-	return config.Register{
-		Read: func() (*config.Document, uint64, error) {
-			pair, err := x.platform.Get(key)
-			if err != nil || pair.Version == 0 {
-				return nil, 0, err
-			}
-			d, err := wire.DecodeDocument(pair.Value)
-			return d, pair.Version, err
-		},
-		Swap: func(d *config.Document, version uint64) (bool, error) {
-			data, err := wire.EncodeDocument(d)
-			if err != nil {
-				return false, err
-			}
-			return x.platform.Swap(key, data, version)
-		},
-	}
+	return wire.NewRegister(x.platform, x.settings.Prefix)
 }
 
 // change applies an edit and says how it went.
--- /dev/null
+++ b/dial/dial.go
@@ -0,0 +1,52 @@
+// Package dial opens the connections to upstreams and agents, and keeps the HTTP
+// library from sending anything twice.
+package dial
+
+import (
+	"errors"
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Timeout bounds the opening of a connection.
+const Timeout = time.Second
+
+// Conn fails a read after a time without data. A peer that is frozen still
+// accepts connections, so only progress tells; a long answer is not cut.
+type Conn struct {
+	net.Conn
+	idle time.Duration
+}
+
+// Open connects to address. Reads fail after idle without data.
+func Open(address string, idle time.Duration) (net.Conn, error) {
+	conn, err := net.DialTimeout("tcp", address, Timeout)
+	if err != nil {
+		return nil, err
+	}
+	return &Conn{Conn: conn, idle: idle}, nil
+}
+
+// Read sets the deadline anew before each read.
+func (c *Conn) Read(p []byte) (int, error) {
+	if err := c.SetReadDeadline(time.Now().Add(c.idle)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(p)
+}
+
+// IsRefused reports whether a request failed before a connection was open, so
+// that it was certainly not sent.
+func IsRefused(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial" || errors.Is(err, fasthttp.ErrDialTimeout)
+}
+
+// NeverResend is the retry rule of every HTTP client of the product. The
+// library's own rule would send a request again whose connection closed before
+// the first byte of an answer.
+func NeverResend(*fasthttp.Request, int, error) (resetTimeout, retry bool) {
+	return false, false
+}
--- /dev/null
+++ b/dial/dial_test.go
@@ -0,0 +1,96 @@
+package dial
+
+import (
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// TestNeverResend counts the connections that reach a server which closes each
+// one unanswered. The library's own rule sends a PUT several times.
+func TestNeverResend(t *testing.T) {
+	tests := map[string]struct {
+		rule  fasthttp.RetryIfErrFunc
+		twice bool
+	}{
+		"the library's rule": {twice: true},
+		"never":              {rule: NeverResend},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var received atomic.Int64
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			go func() {
+				for {
+					conn, err := l.Accept()
+					if err != nil {
+						return
+					}
+					received.Add(1)
+					_, _ = conn.Read(make([]byte, 1))
+					_ = conn.Close()
+				}
+			}()
+			client := &fasthttp.Client{RetryIfErr: test.rule}
+			req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+			req.SetRequestURI("http://" + l.Addr().String() + "/")
+			req.Header.SetMethod(fasthttp.MethodPut)
+			if err := client.DoTimeout(req, resp, 2*time.Second); err == nil {
+				t.Fatal("got an answer, want an error")
+			}
+			if got := received.Load() > 1; got != test.twice {
+				t.Errorf("got %d sends, want more than one: %v", received.Load(), test.twice)
+			}
+		})
+	}
+}
+
+// TestReadFailsWithoutProgress checks the limit between two reads.
+func TestReadFailsWithoutProgress(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		if conn, err := l.Accept(); err == nil {
+			for range 4 {
+				_, _ = conn.Write([]byte("x"))
+				time.Sleep(50 * time.Millisecond)
+			}
+		}
+	}()
+	conn, err := Open(l.Addr().String(), 150*time.Millisecond)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	got := 0
+	for {
+		if _, err := conn.Read(make([]byte, 1)); err != nil {
+			break
+		}
+		got++
+	}
+	if got != 4 {
+		t.Errorf("got %d bytes before the failure, want all 4", got)
+	}
+}
+
+// TestIsRefused checks that only a failed dial counts.
+func TestIsRefused(t *testing.T) {
+	_, err := Open("127.0.0.1:1", time.Second)
+	if !IsRefused(err) {
+		t.Errorf("got %v not refused, want refused", err)
+	}
+	if IsRefused(net.ErrClosed) {
+		t.Error("got a closed connection refused, want not")
+	}
+}
--- a/entry/call.go
+++ b/entry/call.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 	"google.golang.org/protobuf/proto"
 
+	"cactustide/dial"
 	"cactustide/wire"
 )
 
@@ -29,40 +30,19 @@
 	errStatus     = errors.New("entry: the agent refused the connection")
 )
 
-// progressConn fails a read after a time without a sign of life, so that a
-// frozen agent is noticed: it still accepts connections.
-type progressConn struct {
-	net.Conn
-	limit time.Duration
-}
-
-// Read sets the deadline anew before each read.
-func (c *progressConn) Read(p []byte) (int, error) {
-	if err := c.SetReadDeadline(time.Now().Add(c.limit)); err != nil {
-		return 0, err
-	}
-	return c.Conn.Read(p)
-}
-
 // newJobClient returns the client for jobs. It never resends: a job whose
 // connection broke may be running.
 func newJobClient(progress time.Duration) *fasthttp.Client {
 	return &fasthttp.Client{
 		Dial: func(address string) (net.Conn, error) {
-			conn, err := net.DialTimeout("tcp", address, dialTimeout)
-			if err != nil {
-				return nil, err
-			}
-			return &progressConn{Conn: conn, limit: progress}, nil
+			return dial.Open(address, progress)
 		},
 		MaxConnsPerHost:           maxAgentConns,
 		MaxIdleConnDuration:       agentIdle,
 		StreamResponseBody:        true,
 		NoDefaultUserAgentHeader:  true,
 		MaxIdemponentCallAttempts: 1,
-		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) {
-			return false, false
-		},
+		RetryIfErr:                dial.NeverResend,
 	}
 }
 
@@ -90,7 +70,7 @@
 	req.SetBodyRaw(data)
 	c := &call{agent: agent, resp: fasthttp.AcquireResponse()}
 	if err := e.jobs.Do(req, c.resp); err != nil {
-		c.unsent = isDialError(err)
+		c.unsent = dial.IsRefused(err)
 		c.close()
 		return c, err
 	}
@@ -103,11 +83,6 @@
 	return c, nil
 }
 
-func isDialError(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
-}
-
 // next returns the next frame that is not a sign of life. gone is asked at
 // each sign of life whether the caller went away.
 func (c *call) next(gone func() bool) (*wire.Frame, error) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -63,9 +63,6 @@
 	serverName = "cactustide"
 )
 
-// DocumentKey is the key of the configuration document below the prefix.
-const DocumentKey = "/document"
-
 // Entry is the daemon's state.
 type Entry struct {
 	settings *setup.Settings
@@ -116,12 +113,7 @@
 		burn:     burn.New(),
 		links:    links{byID: map[string]*link{}},
 	}
-	e.platform.OnCall = func(op string, failed bool) {
-		m.Scope.Tagged(map[string]string{"call": op}).Counter("platform_calls").Inc(1)
-		if failed {
-			m.Scope.Tagged(map[string]string{"call": op}).Counter("platform_failures").Inc(1)
-		}
-	}
+	e.platform.OnCall = m.CountCall
 	return e
 }
 
@@ -194,7 +186,7 @@
 func (e *Entry) watchDocument(ctx context.Context) error {
 	var index uint64
 	for ctx.Err() == nil {
-		pair, seen, err := e.platform.Watch(e.settings.Prefix+DocumentKey, index, watchWait)
+		pair, seen, err := e.platform.Watch(e.settings.Prefix+wire.DocumentKey, index, watchWait)
 		if err != nil {
 			e.log.Warnf("platform: %v", err)
 			index = 0
@@ -244,7 +236,7 @@
 }
 
 func (e *Entry) flushUsage() {
-	if err := wire.PutUsage(e.platform.Put, e.settings.Prefix, e.process, e.book.Lines()); err != nil {
+	if err := wire.PutUsage(e.platform, e.settings.Prefix, e.process, e.book.Lines()); err != nil {
 		e.log.Warnf("usage not written: %v", err)
 	}
 }
--- a/lab/process.go
+++ b/lab/process.go
@@ -18,6 +18,7 @@
 	"cactustide/config"
 	"cactustide/entry"
 	"cactustide/fakes"
+	"cactustide/setup"
 	"cactustide/store"
 	"cactustide/wire"
 )
@@ -210,25 +211,7 @@
 }
 
 func (f *farm) register() config.Register {
-	client := store.New(f.kv.Address())
-	key := "cactustide" + entry.DocumentKey
-	return config.Register{
-		Read: func() (*config.Document, uint64, error) {
-			pair, err := client.Get(key)
-			if err != nil || pair.Version == 0 {
-				return nil, 0, err
-			}
-			d, err := wire.DecodeDocument(pair.Value)
-			return d, pair.Version, err
-		},
-		Swap: func(d *config.Document, version uint64) (bool, error) {
-			data, err := wire.EncodeDocument(d)
-			if err != nil {
-				return false, err
-			}
-			return client.Swap(key, data, version)
-		},
-	}
+	return wire.NewRegister(store.New(f.kv.Address()), setup.DefaultPrefix)
 }
 
 // apply puts the example document in force, with long queue times.
--- a/lab/slopes.go
+++ b/lab/slopes.go
@@ -11,7 +11,6 @@
 	"testing"
 	"time"
 
-	"cactustide/agent"
 	"cactustide/claim"
 	"cactustide/config"
 	"cactustide/fakes"
@@ -319,7 +318,7 @@
 		return err
 	}
 	defer kv.Close()
-	claims := agent.NewClaims(store.New(kv.Address()), "lab")
+	claims := wire.NewClaims(store.New(kv.Address()), "lab")
 	var took, calls []Point
 	total := 0
 	begin := time.Now()
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -48,6 +48,15 @@
 	}
 }
 
+// CountCall counts a call to the platform's service, and whether it failed.
+func (m *Meter) CountCall(op string, failed bool) {
+	scope := m.Scope.Tagged(map[string]string{"call": op})
+	scope.Counter("platform_calls").Inc(1)
+	if failed {
+		scope.Counter("platform_failures").Inc(1)
+	}
+}
+
 // Close stops the reporting loop and waits for it.
 func (m *Meter) Close() { _ = m.closer.Close() }
 
--- a/store/store.go
+++ b/store/store.go
@@ -14,6 +14,8 @@
 
 	"github.com/valyala/fasthttp"
 	"github.com/zeebo/errs"
+
+	"cactustide/dial"
 )
 
 // Kind tells the errors of this package apart.
@@ -106,9 +108,7 @@
 			NoDefaultUserAgentHeader:  true,
 			MaxConnsPerHost:           maxConns,
 			MaxIdemponentCallAttempts: 1,
-			RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) {
-				return false, false
-			},
+			RetryIfErr:                dial.NeverResend,
 		},
 		onCall: func(op string, failed bool) {
 			if c.OnCall != nil {
@@ -167,14 +167,12 @@
 
 // kindOf sorts transport errors: only a failed dial certainly did nothing.
 func kindOf(err error) Kind {
-	if strings.Contains(err.Error(), "connection refused") || errs.IsFunc(err, isDialTimeout) {
+	if dial.IsRefused(err) {
 		return KindUnreached
 	}
 	return KindUnknown
 }
 
-func isDialTimeout(err error) bool { return err == fasthttp.ErrDialTimeout }
-
 // kvEntry is one element of the interface's JSON answer.
 type kvEntry struct {
 	Key         string
--- a/tests/stack_test.go
+++ b/tests/stack_test.go
@@ -228,25 +228,7 @@
 
 // register is the document's place, reached as ctl does.
 func (s *stack) register() config.Register {
-	client := store.New(s.kv.Address())
-	key := "cactustide" + entry.DocumentKey
-	return config.Register{
-		Read: func() (*config.Document, uint64, error) {
-			pair, err := client.Get(key)
-			if err != nil || pair.Version == 0 {
-				return nil, 0, err
-			}
-			d, err := wire.DecodeDocument(pair.Value)
-			return d, pair.Version, err
-		},
-		Swap: func(d *config.Document, version uint64) (bool, error) {
-			data, err := wire.EncodeDocument(d)
-			if err != nil {
-				return false, err
-			}
-			return client.Swap(key, data, version)
-		},
-	}
+	return wire.NewRegister(store.New(s.kv.Address()), "cactustide")
 }
 
 func (s *stack) apply(edit func(*config.Document)) {
--- /dev/null
+++ b/wire/platform.go
@@ -0,0 +1,74 @@
+package wire
+
+import (
+	"cactustide/claim"
+	"cactustide/config"
+	"cactustide/store"
+	"cactustide/usage"
+)
+
+// Keys below the prefix in the platform's service.
+const (
+	// DocumentKey holds the configuration document.
+	DocumentKey = "/document"
+	// UsageKey starts the keys of processes' counters.
+	UsageKey = "/usage/"
+
+	claimsKey = "/claims/"
+)
+
+// NewRegister returns the document's place in the platform's service.
+func NewRegister(c *store.Client, prefix string) config.Register {
+	key := prefix + DocumentKey
+	return config.Register{
+		Read: func() (*config.Document, uint64, error) {
+			pair, err := c.Get(key)
+			if err != nil || pair.Version == 0 {
+				return nil, 0, err
+			}
+			d, err := DecodeDocument(pair.Value)
+			return d, pair.Version, err
+		},
+		Swap: func(d *config.Document, version uint64) (bool, error) {
+			data, err := EncodeDocument(d)
+			if err != nil {
+				return false, err
+			}
+			return c.Swap(key, data, version)
+		},
+	}
+}
+
+// NewClaims returns the claims in the platform's service, one key for each.
+func NewClaims(c *store.Client, prefix string) claim.Store {
+	return claim.Store{
+		Read: func(key string) (claim.Record, uint64, error) {
+			pair, err := c.Get(prefix + claimsKey + key)
+			if err != nil || pair.Version == 0 {
+				return claim.Record{}, 0, err
+			}
+			r, err := DecodeClaim(pair.Value)
+			return r, pair.Version, err
+		},
+		Swap: func(key string, r claim.Record, version uint64) (bool, error) {
+			data, err := EncodeClaim(r)
+			if err != nil {
+				return false, err
+			}
+			return c.Swap(prefix+claimsKey+key, data, version)
+		},
+	}
+}
+
+// PutUsage writes a process's counters under its own key. They are cumulative,
+// so that a lost answer or a repeated write changes nothing.
+func PutUsage(c *store.Client, prefix, process string, lines []usage.Line) error {
+	if len(lines) == 0 {
+		return nil
+	}
+	data, err := EncodeUsage(process, lines)
+	if err != nil {
+		return err
+	}
+	return c.Put(prefix+UsageKey+process, data)
+}
--- a/wire/usage.go
+++ b/wire/usage.go
@@ -6,24 +6,8 @@
 	"cactustide/usage"
 )
 
-// UsageKey starts the keys of usage below the prefix.
-const UsageKey = "/usage/"
-
-// PutUsage writes a process's counters under its own key. They are cumulative,
-// so that a lost answer or a repeated write changes nothing.
-func PutUsage(put func(key string, value []byte) error, prefix, process string, lines []usage.Line) error {
-	if len(lines) == 0 {
-		return nil
-	}
-	data, err := proto.Marshal(UsageTo(process, lines))
-	if err != nil {
-		return &Error{Op: "encode usage", Kind: KindCodec, Err: err}
-	}
-	return put(prefix+UsageKey+process, data)
-}
-
-// UsageTo maps counters to a message.
-func UsageTo(process string, lines []usage.Line) *Usage {
+// EncodeUsage encodes the counters of a process.
+func EncodeUsage(process string, lines []usage.Line) ([]byte, error) {
 	m := &Usage{Process: process}
 	for _, l := range lines {
 		m.Counts = append(m.Counts, &Count{
@@ -38,7 +22,11 @@
 			Attained: l.Attained,
 		})
 	}
-	return m
+	data, err := proto.Marshal(m)
+	if err != nil {
+		return nil, &Error{Op: "encode usage", Kind: KindCodec, Err: err}
+	}
+	return data, nil
 }
 
 // DecodeUsage decodes the counters of a process.
