Carry fencing numbers, bound writes without progress, show queues by class

Cause: reading the agent as a newcomer: a peer that stops reading could hold a slot for as long as TCP allows; a resend waiting for another run's claim asked the platform ten times a second; the setting 'fence' was read and used nowhere. Ruled out: the server library's write timeout, which covers a whole answer and would cut long streams. Now: each write has 30 s to make progress; looks at a foreign claim double their distance; with fence set, calls carry the agent's incarnation and a 412 means refused, not run. TestReplacedAgent pauses an agent past its replacement: its late call is refused by the service, told as not run, and runs once by the successor. Conclusion: an upstream that ignores fencing numbers is not protected by this.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -5,7 +5,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -95,11 +97,11 @@
 		log:      log,
 		scope:    m.Scope,
 		platform: store.New(s.Platform),
-		upstream: newUpstream(s.Upstream, s.Answer),
 		marks:    retry.NewMarks(),
 		book:     usage.New(),
 		runs:     runs{cancels: map[string]context.CancelFunc{}},
 	}
+	a.upstream = newUpstream(s.Upstream, s.Answer, a.number.Load)
 	a.platform.OnCall = m.CountCall
 	a.claims = wire.NewClaims(a.platform, s.Prefix)
 	a.gate = newGate(sched.Policy{Slots: s.Upstream.Slots, Queue: s.Upstream.Queue})
@@ -236,6 +238,9 @@
 	for _, n := range c.queued {
 		s.Queued = append(s.Queued, int32(n))
 	}
+	for _, class := range slices.Sorted(maps.Keys(c.classes)) {
+		s.Classes = append(s.Classes, &wire.Queue{Class: class, Queued: int32(c.classes[class])})
+	}
 	if d := a.config.Get(); d != nil {
 		s.Preset = d.Preset
 	}
--- a/agent/gate.go
+++ b/agent/gate.go
@@ -22,6 +22,7 @@
 	ReasonMismatch  = "mismatch"  // The key was used with another content.
 	ReasonCrashed   = "crashed"   // The upstream crashed during the run.
 	ReasonBroken    = "broken"    // The upstream broke off the answer.
+	ReasonReplaced  = "replaced"  // The upstream has heard of a newer agent.
 	ReasonBehind    = "behind"    // The agent has no configuration yet.
 )
 
@@ -215,6 +216,7 @@
 	slots   int
 	running int
 	queued  [config.Tiers]int
+	classes map[string]int
 	room    int
 	drain   bool
 }
@@ -227,6 +229,7 @@
 		running: g.sched.Running(),
 		room:    g.sched.Room(),
 		drain:   g.drain,
+		classes: g.sched.Backlogs(),
 	}
 	for tier := range c.queued {
 		c.queued[tier] = g.sched.Queued(tier)
--- a/agent/job.go
+++ b/agent/job.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"cactustide/claim"
@@ -13,41 +12,13 @@
 )
 
 const (
-	// beatInterval is the time between signs of life to the entry. A write that
-	// fails is how the agent notices that the entry gave up.
-	beatInterval = 250 * time.Millisecond
 	// maxKept is the largest answer kept for resends, bytes.
 	maxKept = 256 << 10
-	// conflictPoll is the time between looks at a claim of another run.
+	// conflictPoll is the time before the first look at a claim of another run
+	// again. It doubles, since each look is a call of the platform's service.
 	conflictPoll = 100 * time.Millisecond
 )
 
-// sender writes frames to one entry, from the run and from its heartbeat.
-type sender struct {
-	mu    sync.Mutex
-	write func(f *wire.Frame, flush bool) error
-	err   error
-	ended bool
-}
-
-func (s *sender) send(f *wire.Frame, flush bool) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.err != nil || s.ended {
-		return s.err
-	}
-	s.ended = f.GetKind() == wire.Kind_END || f.GetKind() == wire.Kind_REFUSE
-	s.err = s.write(f, flush)
-	return s.err
-}
-
-// close drops whatever is sent from now on.
-func (s *sender) close() {
-	s.mu.Lock()
-	s.ended = true
-	s.mu.Unlock()
-}
-
 // serve answers one job with frames. It returns when the job has ended and
 // nothing more will be written.
 func (a *Agent) serve(job *wire.Job, write func(f *wire.Frame, flush bool) error) {
@@ -72,46 +43,7 @@
 	a.runs.add(job.GetId(), cancel)
 	a.start(ctx, log, job, request, out)
 	a.runs.remove(job.GetId())
-}
-
-// heartbeat sends signs of life for one job.
-type heartbeat struct {
-	out     *sender
-	cancel  context.CancelFunc
-	mu      sync.Mutex
-	timer   *time.Timer
-	stopped bool
-}
-
-// startHeartbeat sends a sign of life at each interval. When one cannot be
-// sent, the entry is gone and the job is cancelled.
-func startHeartbeat(out *sender, cancel context.CancelFunc) *heartbeat {
-	h := &heartbeat{out: out, cancel: cancel}
-	h.mu.Lock()
-	h.timer = time.AfterFunc(beatInterval, h.beat)
-	h.mu.Unlock()
-	return h
-}
-
-func (h *heartbeat) beat() {
-	if err := h.out.send(&wire.Frame{Kind: wire.Kind_WAIT}, true); err != nil {
-		h.cancel()
-		return
-	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if !h.stopped {
-		h.timer.Reset(beatInterval)
-	}
-}
-
-// Close ends the signs of life and waits for one that is being written.
-func (h *heartbeat) Close() {
-	h.out.close()
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.stopped = true
-	h.timer.Stop()
+	log.Debugf("ended after %v", time.Since(begin))
 }
 
 // admit waits in the queue. It returns the reason if the job was not started.
@@ -181,7 +113,7 @@
 func (a *Agent) take(ctx context.Context, job *wire.Job) (claim.Verdict, claim.Record, error) {
 	run := newRun(job.GetId(), a.settings.Name)
 	limit := time.Now().Add(time.Duration(job.GetLeft()) * time.Millisecond)
-	for {
+	for wait := conflictPoll; ; wait *= 2 {
 		verdict, record, err := claim.Take(a.claims, claimKey(job.GetPartner(), job.GetKey()), run, a.settings.Name, job.GetPrint())
 		if verdict != claim.Running || time.Now().After(limit) {
 			return verdict, record, err
@@ -189,7 +121,7 @@
 		select {
 		case <-ctx.Done():
 			return verdict, record, err
-		case <-time.After(conflictPoll):
+		case <-time.After(min(wait, time.Until(limit))):
 		}
 	}
 }
@@ -209,7 +141,7 @@
 		head: func(int, string) {},
 		data: func([]byte, int64) error { return nil },
 	})
-	if r.unsent {
+	if r.unsent || r.fenced {
 		a.release(log, key, record)
 		a.lose(out, job, r)
 		return
@@ -274,7 +206,7 @@
 			return out.send(&wire.Frame{Kind: wire.Kind_DATA, Data: p}, job.GetStream())
 		},
 	})
-	if !r.whole {
+	if !r.whole || r.fenced {
 		a.lose(out, job, r)
 		log.Infof("broken after %d tokens: %v", r.tokens, r.err)
 		return r
@@ -290,13 +222,18 @@
 // lose ends a job whose answer broke off. If the upstream is gone, the job is
 // marked as running at its crash.
 func (a *Agent) lose(out *sender, job *wire.Job, r result) {
-	if r.unsent {
+	switch {
+	case r.fenced:
+		a.log.Warnf("replaced: the upstream refused incarnation %d", a.number.Load())
+		a.refuse(out, ReasonReplaced, wire.Run_NONE)
+		return
+	case r.unsent:
 		a.healthy.Store(false)
 		a.refuse(out, ReasonDown, wire.Run_NONE)
 		return
 	}
 	reason := ReasonBroken
-	if out.err == nil && !a.upstream.isAlive() {
+	if !out.isBroken() && !a.upstream.isAlive() {
 		reason = ReasonCrashed
 		a.healthy.Store(false)
 		a.marks.Add(time.Now(), job.GetPrint(), a.settings.Name)
--- a/agent/server.go
+++ b/agent/server.go
@@ -4,13 +4,13 @@
 	"bufio"
 	"bytes"
 	"crypto/subtle"
-	"net"
 	"sync"
 
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/pprofhandler"
 	"google.golang.org/protobuf/proto"
 
+	"cactustide/dial"
 	"cactustide/peer"
 	"cactustide/wire"
 )
@@ -37,7 +37,7 @@
 }
 
 func (s *servers) serve(server *fasthttp.Server, address string) error {
-	listener, err := net.Listen("tcp", address)
+	listener, err := dial.Listen(address)
 	if err != nil {
 		return err
 	}
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -26,6 +26,7 @@
 	maxIdleConn    = 30 * time.Second
 	streamBuffer   = 4 << 10 // Bytes.
 	pathHealth     = "/health"
+	headerFence    = "X-Fence"
 	headerRunID    = "X-Request-Id"
 	headerRunKey   = "Idempotency-Key"
 	priorityFields = `{"priority":`
@@ -36,15 +37,17 @@
 // upstream is the model engine or plain service beside the agent.
 type upstream struct {
 	setup.Upstream
-	limit int64
+	// number returns the agent's incarnation, which is its fencing number.
+	number func() uint64
+	limit  int64
 	// health is a lane of its own, so that checks wait for no run.
 	health *lane
 	mu     sync.Mutex
 	free   []*lane
 }
 
-func newUpstream(u setup.Upstream, limit int64) *upstream {
-	return &upstream{Upstream: u, limit: limit, health: newLane(u.Address)}
+func newUpstream(u setup.Upstream, limit int64, number func() uint64) *upstream {
+	return &upstream{Upstream: u, number: number, limit: limit, health: newLane(u.Address)}
 }
 
 // acquire takes a free lane, or opens another one. The scheduler's slots bound
@@ -113,6 +116,8 @@
 	whole bool
 	// unsent means that the request certainly did not reach the upstream.
 	unsent bool
+	// fenced means that the upstream refused the fencing number, and did nothing.
+	fenced bool
 	// body is the whole answer of a call that was not streamed.
 	body []byte
 	kind string
@@ -146,6 +151,9 @@
 	}
 	defer func() { _ = resp.CloseBodyStream() }()
 	status := resp.StatusCode()
+	if u.Fence && status == fasthttp.StatusPreconditionFailed {
+		return result{status: status, fenced: true}
+	}
 	kind := string(resp.Header.ContentType())
 	if bytes.HasPrefix(resp.Header.ContentType(), []byte("text/event-stream")) {
 		to.head(status, kind)
@@ -164,6 +172,9 @@
 	if job.GetKey() != "" {
 		req.Header.Set(headerRunKey, job.GetKey())
 	}
+	if u.Fence {
+		req.Header.Set(headerFence, strconv.FormatUint(u.number(), 10))
+	}
 	if u.Kind == setup.KindEngine {
 		req.SetBody(addPriority(job.GetBody(), tier))
 		return
--- a/cmds/report.go
+++ b/cmds/report.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
+	"strings"
 	"text/tabwriter"
 
 	"cactustide/burn"
@@ -44,7 +46,7 @@
 }
 
 func (x *session) printStatus(all []entryStatus) int {
-	return x.print(all, "ENTRY\tAGENT\tCENTRE\tSERVES\tGENERATION\tPRESET\tREADY\tSLOTS\tRUNNING\tQUEUED BY TIER\tDRAIN\tSUSPECTS\tAGE", func(w *tabwriter.Writer) {
+	return x.print(all, "ENTRY\tAGENT\tCENTRE\tSERVES\tGENERATION\tPRESET\tREADY\tSLOTS\tRUNNING\tQUEUED BY CLASS\tDRAIN\tSUSPECTS\tAGE", func(w *tabwriter.Writer) {
 		for _, s := range all {
 			if s.Fault != "" {
 				fmt.Fprintf(w, "%s\t%s\n", s.Admin, s.Fault)
@@ -53,12 +55,24 @@
 			fmt.Fprintf(w, "%s\t\t%s\t\t%d\t%s\t%v\n", s.Name, s.Centre, s.Generation, s.Preset, s.Ready)
 			for _, a := range s.Agents {
 				fmt.Fprintf(w, "\t%s\t%s\t%s\t%d\t%s\t%v\t%d\t%d\t%v\t%v\t%d\t%s\n", a.Name, a.Centre, a.Model+a.Service,
-					a.Generation, a.Preset, a.Healthy, a.Slots, a.Running, a.Queued, a.Drain, a.Suspects, formatAge(a.Age))
+					a.Generation, a.Preset, a.Healthy, a.Slots, a.Running, formatQueues(a.Queued), a.Drain, a.Suspects, formatAge(a.Age))
 			}
 		}
 	})
 }
 
+// formatQueues formats queue lengths, such as "brief 3, lookup 1".
+func formatQueues(queued map[string]int32) string {
+	if len(queued) == 0 {
+		return "-"
+	}
+	var parts []string
+	for _, class := range slices.Sorted(maps.Keys(queued)) {
+		parts = append(parts, fmt.Sprintf("%s %d", class, queued[class]))
+	}
+	return strings.Join(parts, ", ")
+}
+
 func formatAge(milliseconds int64) string {
 	if milliseconds < 0 {
 		return "silent"
--- a/dial/dial.go
+++ b/dial/dial.go
@@ -37,6 +37,52 @@
 	return c.Conn.Read(p)
 }
 
+// WriteIdle is how long a write to a caller or an entry may make no progress.
+const WriteIdle = 30 * time.Second
+
+// Listener accepts connections whose writes fail after a time without progress,
+// so that a peer which stopped reading cannot hold a run's slot.
+type Listener struct {
+	net.Listener
+	Idle time.Duration
+}
+
+// Listen listens on address with the limit on writes.
+func Listen(address string) (*Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &Listener{Listener: l, Idle: WriteIdle}, nil
+}
+
+// Accept returns the next connection.
+func (l *Listener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return conn, nil
+	}
+	return &served{TCPConn: tcp, idle: l.Idle}, nil
+}
+
+// served is an accepted connection with a limit on each write.
+type served struct {
+	*net.TCPConn
+	idle time.Duration
+}
+
+// Write sets the deadline anew before each write.
+func (c *served) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(c.idle)); err != nil {
+		return 0, err
+	}
+	return c.TCPConn.Write(p)
+}
+
 // IsRefused reports whether a request failed before a connection was open, so
 // that it was certainly not sent.
 func IsRefused(err error) bool {
--- a/dial/dial_test.go
+++ b/dial/dial_test.go
@@ -84,6 +84,34 @@
 	}
 }
 
+// TestWriteFailsWithoutReader checks that a peer which does not read ends the
+// connection.
+func TestWriteFailsWithoutReader(t *testing.T) {
+	l, err := Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	l.Idle = 100 * time.Millisecond
+	peer, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	conn, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	begin := time.Now()
+	for err == nil && time.Since(begin) < 10*time.Second {
+		_, err = conn.Write(make([]byte, 1<<20))
+	}
+	if err == nil {
+		t.Error("got writes without a reader for ten seconds, want an error")
+	}
+}
+
 // TestIsRefused checks that only a failed dial counts.
 func TestIsRefused(t *testing.T) {
 	_, err := Open("127.0.0.1:1", time.Second)
--- a/entry/admin.go
+++ b/entry/admin.go
@@ -46,8 +46,8 @@
 	Preset      string
 	Slots       int32
 	Running     int32
-	// Queued by tier.
-	Queued   []int32
+	// Queued requests by class, those with any.
+	Queued   map[string]int32
 	Drain    bool
 	Healthy  bool
 	Suspects int
@@ -159,12 +159,15 @@
 		Preset:      state.GetPreset(),
 		Slots:       state.GetSlots(),
 		Running:     state.GetRunning(),
-		Queued:      state.GetQueued(),
+		Queued:      map[string]int32{},
 		Drain:       state.GetDrain(),
 		Healthy:     state.GetHealthy(),
 		Suspects:    len(state.GetMarks()),
 		Age:         -1,
 	}
+	for _, q := range state.GetClasses() {
+		a.Queued[q.GetClass()] = q.GetQueued()
+	}
 	if !seen.IsZero() {
 		a.Age = now.Sub(seen).Milliseconds()
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -7,7 +7,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -19,6 +18,7 @@
 
 	"cactustide/burn"
 	"cactustide/config"
+	"cactustide/dial"
 	"cactustide/meter"
 	"cactustide/retry"
 	"cactustide/route"
@@ -134,11 +134,11 @@
 }
 
 func (e *Entry) listen() error {
-	callers, err := net.Listen("tcp", e.settings.Listen)
+	callers, err := dial.Listen(e.settings.Listen)
 	if err != nil {
 		return err
 	}
-	admin, err := net.Listen("tcp", e.settings.Admin)
+	admin, err := dial.Listen(e.settings.Admin)
 	if err != nil {
 		_ = callers.Close()
 		return err
--- a/entry/handle.go
+++ b/entry/handle.go
@@ -155,7 +155,7 @@
 			e.learn(f.GetState())
 			out.stream.finish()
 			if f.GetRun() == wire.Run_DONE && events.Done {
-				e.endStream(r, usage.Done, events.Count, r.metStream(first, time.Now(), events.Count))
+				e.endWhole(r, first, time.Now(), events.Count)
 				return
 			}
 			e.breakStream(w, r, events.Count)
@@ -170,6 +170,14 @@
 	}
 }
 
+// endWhole settles a stream that reached its caller with its end marker.
+func (e *Entry) endWhole(r *request, first, last time.Time, tokens int64) {
+	if tokens > 1 {
+		e.scope.Timer("between_tokens").Record(last.Sub(first) / time.Duration(tokens-1))
+	}
+	e.endStream(r, usage.Done, tokens, r.metStream(first, last, tokens))
+}
+
 // metStream reports whether a stream met its class's targets.
 func (r *request) metStream(first, last time.Time, tokens int64) bool {
 	if first.Sub(r.arrived) > r.class.Target {
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -229,7 +229,7 @@
 func refusalFault(reason string) *Fault {
 	f := &Fault{Status: fasthttp.StatusServiceUnavailable, Code: reason, Run: RunNone, After: retrySoon}
 	switch reason {
-	case "", agent.ReasonDown, agent.ReasonDrain:
+	case "", agent.ReasonDown, agent.ReasonDrain, agent.ReasonReplaced, agent.ReasonBehind:
 		f.Code = "unavailable"
 		f.Message = "no upstream can take the request now"
 	case agent.ReasonExpired:
--- a/fakes/plain.go
+++ b/fakes/plain.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -25,6 +26,8 @@
 	Work time.Duration
 	mu   sync.Mutex
 	runs map[string]int
+	// fence is the highest fencing number seen; lower ones are refused with 412.
+	fence uint64
 	// requests holds the ids of the requests that ran.
 	requests map[string]bool
 }
@@ -81,7 +84,14 @@
 		return
 	}
 	key := string(ctx.Request.Header.Peek("Idempotency-Key"))
+	fence, fenceErr := strconv.ParseUint(string(ctx.Request.Header.Peek("X-Fence")), 10, 64)
 	p.mu.Lock()
+	if fenceErr == nil && fence < p.fence {
+		p.mu.Unlock()
+		ctx.SetStatusCode(fasthttp.StatusPreconditionFailed)
+		return
+	}
+	p.fence = max(p.fence, fence)
 	p.requests[string(ctx.Request.Header.Peek("X-Request-Id"))] = true
 	if key != "" {
 		p.runs[key]++
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -159,6 +159,17 @@
 // Backlog returns the number of queued requests of a class.
 func (s *Sched) Backlog(class string) int { return s.class(class).queued }
 
+// Backlogs returns the number of queued requests of each class that has any.
+func (s *Sched) Backlogs() map[string]int {
+	out := map[string]int{}
+	for name, cs := range s.classes {
+		if cs.queued > 0 {
+			out[name] = cs.queued
+		}
+	}
+	return out
+}
+
 // Waiting returns the number of queued requests.
 func (s *Sched) Waiting() int { return len(s.waiting) }
 
--- a/setup/settings.go
+++ b/setup/settings.go
@@ -105,7 +105,7 @@
 	Slots int
 	// Queue is how many requests the agent queues.
 	Queue int
-	// Fence says that the upstream refuses orders with an old fencing number.
+	// Fence says that the upstream refuses calls with an old fencing number.
 	Fence bool
 }
 
--- /dev/null
+++ b/tests/fence_test.go
@@ -0,0 +1,84 @@
+package tests
+
+import (
+	"bufio"
+	"bytes"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"cactustide/agent"
+	"cactustide/fakes"
+	"cactustide/wire"
+)
+
+// TestReplacedAgent pauses an agent, puts another one before its upstream, and
+// lets the paused one go on. An upstream that checks fencing numbers refuses the
+// old agent's calls, and the agent says truthfully that they were not run.
+func TestReplacedAgent(t *testing.T) {
+	o := stackOptions{entries: 1, plains: 1, slots: 4, queue: 16, fence: true}
+	s := newStack(t, o)
+	old := s.agents[0]
+	if r := s.action(s.entries[0], "before", 5*time.Second); r.status != http.StatusOK {
+		t.Fatalf("got %+v, want 200 through the first agent", r)
+	}
+	old.signal(syscall.SIGSTOP)
+	s.addAgent("records-0", "plain", "", service, s.plains[0].Address(), o)
+	s.waitFor("an action through the second agent", 10*time.Second, func() bool {
+		return s.action(s.entries[0], "between", 2*time.Second).status == http.StatusOK
+	})
+	old.signal(syscall.SIGCONT)
+	job := &wire.Job{Id: "late", Partner: "gyeongnam", Team: "permits", Class: "action", Service: service, Method: http.MethodPost, Path: "/permits", Key: "late", Once: true, Left: 2000}
+	got := sendJob(t, old, job)
+	if got.GetKind() != wire.Kind_REFUSE || got.GetReason() != agent.ReasonReplaced || got.GetRun() != wire.Run_NONE {
+		t.Errorf("got %v, want a refusal of the replaced agent", got)
+	}
+	if got := s.plains[0].Runs("late"); got != 0 {
+		t.Errorf("got %d runs of the replaced agent's call, want none", got)
+	}
+	// The key is free again for the agent that replaced it.
+	if r := s.action(s.entries[0], "late", 5*time.Second); r.status != http.StatusOK || s.plains[0].Runs("late") != 1 {
+		t.Errorf("got %+v and %d runs, want the call run once by the second agent", r, s.plains[0].Runs("late"))
+	}
+}
+
+// sendJob sends a job to an agent as an entry does, and returns its last frame.
+func sendJob(t *testing.T, a *process, job *wire.Job) *wire.Frame {
+	t.Helper()
+	data, err := proto.Marshal(job)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req, _ := http.NewRequest(http.MethodPost, "http://"+a.listen+"/job", bytes.NewReader(data))
+	req.Header.Set("Authorization", "Bearer t")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	reader := bufio.NewReader(resp.Body)
+	last := &wire.Frame{}
+	for {
+		f := &wire.Frame{}
+		if err := wire.ReadFrame(reader, f); err != nil {
+			return last
+		}
+		last = f
+	}
+}
+
+// TestHostMoves checks that an entry follows an upstream whose agent has a new
+// address in the list of hosts.
+func TestHostMoves(t *testing.T) {
+	o := stackOptions{entries: 1, engines: 1, slots: 4, queue: 16}
+	s := newStack(t, o)
+	s.agents[0].kill()
+	s.addAgent("birch-0", "engine", model, "", s.engines[0].Address(), o)
+	s.waitFor("an answer through the new agent", 10*time.Second, func() bool {
+		r := s.chat(s.entries[0], "moved tokens=3 ", false, 2*time.Second)
+		return r.status == http.StatusOK && bytes.Contains([]byte(r.body), []byte(fakes.Expected("moved tokens=3 ")))
+	})
+}
--- a/tests/stack_test.go
+++ b/tests/stack_test.go
@@ -151,10 +151,23 @@
 	progress string
 	seed     uint64
 	edit     func(*config.Document)
+	// level of the logs; info if empty.
+	level string
+	// extra lines of the entries' settings.
+	extra string
+	// fence makes agents send fencing numbers.
+	fence bool
 	// platform replaces the address of the key-value service for a process.
 	platform func(role string, i int, address string) string
 }
 
+func (o stackOptions) logLevel() string {
+	if o.level == "" {
+		return "info"
+	}
+	return o.level
+}
+
 func newStack(t *testing.T, o stackOptions) *stack {
 	t.Helper()
 	s := &stack{t: t, dir: t.TempDir(), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4096, MaxIdleConns: 8192}}}
@@ -268,8 +281,8 @@
 }
 
 func (s *stack) addAgent(name, kind, model, service, upstream string, o stackOptions) {
-	settings := fmt.Sprintf("platform: %s\nlog: {level: info}\nupstream: {kind: %s, address: %q, model: %q, service: %q, slots: %d, queue: %d}\nlimits: {stop: 20s}\n",
-		s.platformOf(o, "agent", len(s.agents)), kind, upstream, model, service, o.slots, o.queue)
+	settings := fmt.Sprintf("platform: %s\nlog: {level: %s}\nupstream: {kind: %s, address: %q, model: %q, service: %q, slots: %d, queue: %d, fence: %v}\nlimits: {stop: 20s}\n",
+		s.platformOf(o, "agent", len(s.agents)), o.logLevel(), kind, upstream, model, service, o.slots, o.queue, o.fence)
 	p := s.newProcess("agent", name, settings)
 	s.agents = append(s.agents, p)
 	host, port, _ := net.SplitHostPort(p.listen)
@@ -283,7 +296,7 @@
 	if progress == "" {
 		progress = "3s"
 	}
-	settings := fmt.Sprintf("platform: %s\nlog: {level: info}\nlimits: {progress: %s, stop: 20s}\npeers:\n", s.platformOf(o, "entry", i), progress)
+	settings := fmt.Sprintf("platform: %s\nlog: {level: %s}\nlimits: {progress: %s, stop: 20s}\n%speers:\n", s.platformOf(o, "entry", i), o.logLevel(), progress, o.extra)
 	for _, a := range s.agents {
 		settings += fmt.Sprintf("  - {name: %s, listen: %q, peer: %q}\n", a.name, a.listen, a.peer)
 	}
