Name the field when a caller's body is no object; check a partner before a share

Before: param empty; a generation spent. After: param is body; exit code 2, nothing written. Conclusion: every refused body names its field.

--- a/cmds/change.go
+++ b/cmds/change.go
@@ -129,38 +129,47 @@
 			fmt.Fprintf(x.err, "share: %q is not a number\n", value)
 			return ExitUsage
 		}
-		found := false
-		code := x.change(func(d *config.Document) { found = setShare(d, name, share) })
-		if code == ExitOK && !found {
-			fmt.Fprintf(x.err, "partner: %q is not a partner; nothing but the generation changed\n", name)
+		current, code := x.current()
+		if code != ExitOK {
+			return code
+		}
+		if !slices.ContainsFunc(current.Partners, func(p config.Partner) bool { return p.Name == name }) {
+			fmt.Fprintf(x.err, "partner: %q is not a partner of the document\n", name)
 			return ExitUsage
 		}
-		return code
+		return x.change(func(d *config.Document) { setShare(d, name, share) })
 	})}
 }
 
 // setShare sets a share where the preset in force takes it from.
-func setShare(d *config.Document, partner string, share float64) bool {
+func setShare(d *config.Document, partner string, share float64) {
+	if setPresetShare(d, partner, share) {
+		return
+	}
+	d.Partners = slices.Clone(d.Partners)
+	for i := range d.Partners {
+		if d.Partners[i].Name == partner {
+			d.Partners[i].Share = share
+		}
+	}
+}
+
+// setPresetShare sets the share in the preset in force, if that overrides it.
+func setPresetShare(d *config.Document, partner string, share float64) bool {
+	d.Presets = slices.Clone(d.Presets)
 	for i := range d.Presets {
 		if d.Presets[i].Name != d.Preset {
 			continue
 		}
-		d.Presets = slices.Clone(d.Presets)
-		d.Presets[i].Shares = slices.Clone(d.Presets[i].Shares)
-		for j := range d.Presets[i].Shares {
-			if d.Presets[i].Shares[j].Partner == partner {
-				d.Presets[i].Shares[j].Share = share
+		shares := slices.Clone(d.Presets[i].Shares)
+		d.Presets[i].Shares = shares
+		for j := range shares {
+			if shares[j].Partner == partner {
+				shares[j].Share = share
 				return true
 			}
 		}
 	}
-	d.Partners = slices.Clone(d.Partners)
-	for i := range d.Partners {
-		if d.Partners[i].Name == partner {
-			d.Partners[i].Share = share
-			return true
-		}
-	}
 	return false
 }
 
--- a/cmds/report.go
+++ b/cmds/report.go
@@ -49,10 +49,10 @@
 	return x.print(all, "ENTRY\tAGENT\tCENTRE\tSERVES\tGENERATION\tPRESET\tREADY\tSLOTS\tRUNNING\tQUEUED BY CLASS\tDRAIN\tSUSPECTS\tAGE", func(w *tabwriter.Writer) {
 		for _, s := range all {
 			if s.Fault != "" {
-				fmt.Fprintf(w, "%s\t%s\n", s.Admin, s.Fault)
+				fmt.Fprintf(w, "%s: %s\n", s.Admin, s.Fault)
 				continue
 			}
-			fmt.Fprintf(w, "%s\t\t%s\t\t%d\t%s\t%v\n", s.Name, s.Centre, s.Generation, s.Preset, s.Ready)
+			fmt.Fprintf(w, "%s\t\t%s\t\t%d\t%s\t%v\t\t\t\t\t\t\n", s.Name, s.Centre, s.Generation, s.Preset, s.Ready)
 			for _, a := range s.Agents {
 				fmt.Fprintf(w, "\t%s\t%s\t%s\t%d\t%s\t%v\t%d\t%d\t%v\t%v\t%d\t%s\n", a.Name, a.Centre, a.Model+a.Service,
 					a.Generation, a.Preset, a.Healthy, a.Slots, a.Running, formatQueues(a.Queued), a.Drain, a.Suspects, formatAge(a.Age))
--- a/entry/request.go
+++ b/entry/request.go
@@ -88,8 +88,8 @@
 }
 
 func bindFault(err error) *Fault {
-	if typed, ok := err.(*json.UnmarshalTypeError); ok {
-		return invalid(typed.Field, typed.Field+" must not be a "+typed.Value)
+	if typed, ok := err.(*json.UnmarshalTypeError); ok && typed.Field != "" {
+		return invalid(typed.Field, typed.Field+" has the wrong type: "+typed.Value)
 	}
 	return invalid("body", "the body is not a JSON object: "+err.Error())
 }
