--- a/route/route_test.go
+++ b/route/route_test.go
@@ -73,23 +73,41 @@
 	}
 }
 
-// TestStragglerProbed checks that a straggler gets few requests, but some.
+// TestStragglerProbed checks that a straggler gets one request in each interval.
 func TestStragglerProbed(t *testing.T) {
-	table := New(3 * time.Second)
-	counts := map[string]int{}
-	for range 2000 {
-		for i := range 4 {
-			pace := time.Millisecond
-			if i == 0 {
-				pace = 10 * time.Millisecond
-			}
-			table.Update(now, agent(fmt.Sprint("a", i), func(a *Agent) { a.Pace = pace; a.Slots = 100 }))
-		}
-		name, _ := table.Choose(now, Want{Model: "m", Tier: 5}, rand.IntN)
-		counts[name]++
+	const (
+		choices = 2000
+		step    = 100 * time.Millisecond
+	)
+	tests := map[string]struct {
+		tier     int
+		interval time.Duration
+	}{
+		"patient work": {tier: 5, interval: probeInterval},
+		"urgent work":  {tier: 0, interval: probeHigh},
 	}
-	if got := counts["a0"]; got == 0 || got > 2000/16 {
-		t.Errorf("got %d of 2000 at the straggler, want some, at most %d", got, 2000/16)
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			table := New(3 * time.Second)
+			got := 0
+			for n := range choices {
+				at := now.Add(time.Duration(n) * step)
+				for i := range 4 {
+					pace := time.Millisecond
+					if i == 0 {
+						pace = 10 * time.Millisecond
+					}
+					table.Update(at, agent(fmt.Sprint("a", i), func(a *Agent) { a.Pace = pace; a.Slots = 100 }))
+				}
+				if name, _ := table.Choose(at, Want{Model: "m", Tier: test.tier}, rand.IntN); name == "a0" {
+					got++
+				}
+			}
+			span := choices * step
+			if want := int((span-step)/test.interval) + 1; got != want {
+				t.Errorf("got %d of %d at the straggler, want %d", got, choices, want)
+			}
+		})
 	}
 }
 
--- a/route/table.go
+++ b/route/table.go
@@ -18,11 +18,11 @@
 	// stragglerFactor is the ratio to the median pace of its model above which
 	// an upstream counts as a straggler.
 	stragglerFactor = 2.0
-	// probeEvery lets one request in this many go to a straggler, so that its
-	// recovery is seen. A request of a higher tier counts as one, of a lower tier
-	// as probeLow: patient work suffers less.
-	probeEvery = 512
-	probeLow   = 16
+	// probeInterval is the time between two requests that go to a straggler all the
+	// same, so that its recovery is seen. Patient work suffers less from that, so
+	// higher tiers are taken only after probeHigh.
+	probeInterval = 30 * time.Second
+	probeHigh     = 2 * time.Minute
 	// sample is the number of candidates compared for a request.
 	sample = 16
 )
@@ -63,7 +63,8 @@
 	// sent counts the requests of this entry that the state does not show yet.
 	sent    int
 	leaving bool
-	skipped int
+	// probed is when the last probe was sent.
+	probed time.Time
 }
 
 // Table holds the agents known to an entry.
@@ -162,7 +163,7 @@
 		return "", false
 	}
 	candidates = preferCentre(candidates, w)
-	candidates = skipStragglers(candidates, w.Tier)
+	candidates = skipStragglers(now, candidates, w.Tier)
 	m := usual(candidates, w)
 	if m == nil {
 		m = lessLoaded(candidates, w.Tier, random)
@@ -242,34 +243,30 @@
 }
 
 // skipStragglers leaves out upstreams much slower than the median of the
-// candidates, but for one request in probeEvery.
-func skipStragglers(candidates []*member, tier int) []*member {
+// candidates, but for a probe now and then.
+func skipStragglers(now time.Time, candidates []*member, tier int) []*member {
 	median := medianPace(candidates)
 	if median == 0 {
 		return candidates
 	}
+	interval := probeHigh
+	if tier > config.Tiers/2 {
+		interval = probeInterval
+	}
 	var fast []*member
 	for _, m := range candidates {
 		if float64(m.Pace) <= stragglerFactor*float64(median) {
 			fast = append(fast, m)
 			continue
 		}
-		m.skipped += probeWeight(tier)
-		if m.skipped >= probeEvery {
-			m.skipped = 0
+		if now.Sub(m.probed) >= interval {
+			m.probed = now
 			return []*member{m}
 		}
 	}
 	return fast
 }
 
-func probeWeight(tier int) int {
-	if tier > config.Tiers/2 {
-		return probeLow
-	}
-	return 1
-}
-
 func medianPace(candidates []*member) time.Duration {
 	var paces []time.Duration
 	for _, m := range candidates {
