Let a stopping entry leave its watch behind

Cause: an entry that got SIGTERM finished its streams, then stayed for up to 35 s in a waiting read of the platform. It also logged each failed watch of an outage. Ruled out: shorter waits, which cost platform calls that grow with the entries. Before: TestPlannedStops, extended by the entry's exit within 5 s, failed. After: it passes; the log tells when the platform stops and starts answering. Conclusion: the abandoned call ends with the process.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -185,20 +185,22 @@
 // watchDocument adopts each newer configuration document of the platform.
 func (e *Entry) watchDocument(ctx context.Context) error {
 	var index uint64
+	down := false
 	for ctx.Err() == nil {
-		pair, seen, err := e.platform.Watch(e.settings.Prefix+wire.DocumentKey, index, watchWait)
-		if err != nil {
-			e.log.Warnf("platform: %v", err)
-			index = 0
-		} else if pair.Version != 0 {
+		pair, seen, err := e.watchOnce(ctx, index)
+		if ctx.Err() != nil {
+			return nil
+		}
+		e.logPlatform(&down, err)
+		if err == nil && pair.Version != 0 {
 			e.adoptEncoded(pair.Value)
 		}
 		if err == nil && seen > index {
 			index = seen
 			continue
 		}
-		if err == nil && seen < index {
-			index = 0 // The service started anew.
+		if err != nil || seen < index {
+			index = 0 // The service started anew, or may have.
 		}
 		select {
 		case <-ctx.Done():
@@ -208,6 +210,40 @@
 	return nil
 }
 
+// logPlatform logs when the platform stops or starts answering.
+func (e *Entry) logPlatform(down *bool, err error) {
+	switch {
+	case err != nil && !*down:
+		e.log.Warnf("platform: %v", err)
+	case err == nil && *down:
+		e.log.Infof("platform answers again")
+	}
+	*down = err != nil
+}
+
+// watched is the result of one watch.
+type watched struct {
+	pair  store.Pair
+	index uint64
+	err   error
+}
+
+// watchOnce waits for a change of the document, or for the end of ctx. The call
+// itself cannot be ended, so a stopping entry leaves it behind.
+func (e *Entry) watchOnce(ctx context.Context, index uint64) (store.Pair, uint64, error) {
+	results := make(chan watched, 1)
+	go func() {
+		pair, seen, err := e.platform.Watch(e.settings.Prefix+wire.DocumentKey, index, watchWait)
+		results <- watched{pair: pair, index: seen, err: err}
+	}()
+	select {
+	case r := <-results:
+		return r.pair, r.index, r.err
+	case <-ctx.Done():
+		return store.Pair{}, 0, ctx.Err()
+	}
+}
+
 func (e *Entry) adoptEncoded(data []byte) {
 	d, err := wire.DecodeDocument(data)
 	if err != nil {
--- a/tests/stack_test.go
+++ b/tests/stack_test.go
@@ -110,6 +110,18 @@
 	<-exited
 }
 
+func (p *process) hasExited() bool {
+	p.mu.Lock()
+	exited := p.exited
+	p.mu.Unlock()
+	select {
+	case <-exited:
+		return true
+	default:
+		return false
+	}
+}
+
 func (p *process) kill() {
 	p.signal(syscall.SIGKILL)
 	p.wait()
--- a/tests/stream_test.go
+++ b/tests/stream_test.go
@@ -248,6 +248,9 @@
 				}
 			}
 			load.stop()
+			if test.stopped < 0 {
+				s.waitFor("the entry's exit", 5*time.Second, s.entries[0].hasExited)
+			}
 			if load.broken.Load() != 0 {
 				t.Errorf("got %d broken streams, want none", load.broken.Load())
 			}
