Read an oversized body to its end before the connection closes

Ruled out: the library's limit, which answers rightly; the test's client, which any client resembles. Conclusion: what is discarded is bounded by 2 s; a refused caller hears why.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -166,6 +167,7 @@
 // handleError answers requests that the library could not read.
 func (e *Entry) handleError(ctx *fasthttp.RequestCtx, err error) {
 	if err == fasthttp.ErrBodyTooLarge {
+		discardBody(ctx.Conn())
 		(&Fault{
 			Status:  fasthttp.StatusRequestEntityTooLarge,
 			Code:    "large",
@@ -178,6 +180,27 @@
 	invalid("request", "the request could not be read: "+err.Error()).write(ctx, e.newID())
 }
 
+const (
+	// discardIdle is how long an oversized body may pause while it is discarded,
+	// and discardLimit how long discarding may take in all.
+	discardIdle  = 100 * time.Millisecond
+	discardLimit = 2 * time.Second
+)
+
+// discardBody reads what a caller still sends. A connection that closes with
+// unread bytes is reset, and the caller would never see the answer.
+func discardBody(conn net.Conn) {
+	buffer := make([]byte, 64<<10)
+	for end := time.Now().Add(discardLimit); time.Now().Before(end); {
+		if err := conn.SetReadDeadline(time.Now().Add(discardIdle)); err != nil {
+			return
+		}
+		if _, err := conn.Read(buffer); err != nil {
+			return
+		}
+	}
+}
+
 func (e *Entry) newID() string {
 	return e.process + "-" + strconv.FormatUint(e.sequence.Add(1), 36)
 }
