--- a/lab/capacity.go
+++ b/lab/capacity.go
@@ -209,9 +209,13 @@
 			48 * (1/watchSeconds + changes + 1/hostsSeconds), "%.0f/s", allowedReads, "designed, not built; the relay through agents is built (entry/links.go syncWith)",
 		},
 		{
-			"platform", "writes: usage every 5 s, as today", fmt.Sprintf("1,800 / %.0f s", usageSeconds),
+			"platform", "writes: entries' usage every 5 s, as today", fmt.Sprintf("1,800 / %.0f s", usageSeconds),
 			nodes / usageSeconds, "%.0f/s", allowedWrites, "entry/entry.go writeUsage",
 		},
+		{
+			"platform", "writes: agents' usage every 5 s, as today", fmt.Sprintf("10,000 / %.0f s", usageSeconds),
+			replicas / usageSeconds, "%.0f/s", allowedWrites, "agent/agent.go writeUsage; counts on syncs designed, not built",
+		},
 		{
 			"platform", "writes: changes, restarts and failures", fmt.Sprintf("%.2f + (2,400 + 100) / day", changes),
 			changes + (restartsPerDay+failuresPerDay)/day, "%.2f/s", allowedWrites, "config/change.go Change, agent/claims.go takeNumber",
