--- a/dial/dial.go
+++ b/dial/dial.go
@@ -96,3 +96,21 @@
 func NeverResend(*fasthttp.Request, int, error) (resetTimeout, retry bool) {
 	return false, false
 }
+
+const (
+	// probeIdle, probeGap and probeCount bound how long a connection to a host that
+	// went silent stays open: 2 s.
+	probeIdle  = time.Second
+	probeGap   = 500 * time.Millisecond
+	probeCount = 2
+)
+
+// Probed connects to address with short keep-alive probes, for connections that
+// wait long for an answer.
+func Probed(address string) (net.Conn, error) {
+	d := net.Dialer{
+		Timeout:         Timeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeGap, Count: probeCount},
+	}
+	return d.Dial("tcp", address)
+}
--- /dev/null
+++ b/direct/entry.go
@@ -0,0 +1,211 @@
+package direct
+
+import (
+	"context"
+	"log"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"cactustide/conn"
+	"cactustide/fleet"
+	"cactustide/meter"
+	"cactustide/place"
+	"cactustide/retry"
+	"cactustide/rules"
+	"cactustide/setup"
+	"cactustide/store"
+)
+
+const (
+	// headerLimit bounds the time to read a request's head. The configuration's own
+	// limit may change while the server runs, and callers stay below it.
+	headerLimit = 10 * time.Second
+	// headBytes bounds a request's head while no configuration is in force.
+	headBytes = 64 << 10
+	// settleTime is how long a stopping entry still takes new connections, so that
+	// the balancer, which asks each second and wants two misses, sees it leave.
+	settleTime = 2500 * time.Millisecond
+	// stopMargin is left between the end of a planned stop and the kill.
+	stopMargin = 400 * time.Millisecond
+	// memoryShare is the part of the memory that the collector aims for.
+	memoryShare = 0.6
+	// bodyShare is the part of the memory for request bodies in progress.
+	bodyShare = 0.25
+	// sweepInterval is the time between two sweeps of idle connections.
+	sweepInterval = 250 * time.Millisecond
+)
+
+// Entry is the daemon's state.
+type Entry struct {
+	settings *setup.Direct
+	wire     Wire
+	items    Items
+	log      *meter.Log
+	scope    tally.Scope
+	scrape   fasthttp.RequestHandler
+	store    *store.Log
+	rules    rules.Holder
+	fleet    *fleet.Registry
+	model    *place.Model
+	pool     *conn.Pool
+	budget   *retry.Window
+	marks    *retry.Marks
+	bodies   bodies
+	idle     idleSet
+
+	stopping atomic.Bool
+	callers  *http.Server
+	ready    *http.Server
+	serving  sync.WaitGroup
+	cancel   context.CancelFunc
+	group    *errgroup.Group
+}
+
+// New returns an entry. Start runs it.
+func New(s *setup.Direct, w Wire, items Items, client *store.Log, logger *meter.Log, m *meter.Meter) *Entry {
+	return &Entry{
+		settings: s,
+		wire:     w,
+		items:    items,
+		log:      logger,
+		scope:    m.Scope,
+		scrape:   m.Scrape,
+		store:    client,
+		fleet:    fleet.NewRegistry(),
+		model:    place.New(place.Settings{}),
+		pool:     conn.NewPool(),
+		budget:   retry.NewWindow(s.RetryRatio, s.RetrySlack, s.RetryWindow),
+		marks:    retry.NewMarks(),
+		bodies:   bodies{limit: int64(bodyShare * float64(s.Memory))},
+		idle:     idleSet{since: map[net.Conn]time.Time{}},
+	}
+}
+
+// Start listens and starts the loops.
+func (e *Entry) Start() error {
+	debug.SetMemoryLimit(int64(memoryShare * float64(e.settings.Memory)))
+	ctx, cancel := context.WithCancel(context.Background())
+	e.cancel = cancel
+	e.group, ctx = errgroup.WithContext(ctx)
+	if err := e.listen(); err != nil {
+		cancel()
+		return &Error{Op: "listen", Kind: KindListen, Err: err}
+	}
+	for _, prefix := range e.items.Prefixes {
+		e.group.Go(func() error { return e.follow(ctx, prefix) })
+	}
+	e.group.Go(func() error { return e.sweep(ctx) })
+	e.log.Infof("listening on %s, readiness on %s", e.settings.Listen, e.settings.Ready)
+	return nil
+}
+
+func (e *Entry) listen() error {
+	callers, err := net.Listen("tcp", e.settings.Listen)
+	if err != nil {
+		return err
+	}
+	ready, err := net.Listen("tcp", e.settings.Ready)
+	if err != nil {
+		_ = callers.Close() // The first error tells why the start failed.
+		return err
+	}
+	errorLog := log.New(libraryLog{e.log}, "", 0)
+	e.callers = &http.Server{
+		Handler:           http.HandlerFunc(e.handle),
+		ReadHeaderTimeout: headerLimit,
+		MaxHeaderBytes:    headBytes,
+		ConnState:         e.idle.note,
+		ErrorLog:          errorLog,
+	}
+	e.ready = &http.Server{
+		Handler:           http.HandlerFunc(e.handleReady),
+		ReadHeaderTimeout: headerLimit,
+		ErrorLog:          errorLog,
+	}
+	e.serving.Go(func() { e.logServe(e.callers.Serve(callers)) })
+	e.serving.Go(func() { e.logServe(e.ready.Serve(ready)) })
+	return nil
+}
+
+func (e *Entry) logServe(err error) {
+	if err != http.ErrServerClosed {
+		e.log.Errorf("a listener ended: %v", err)
+	}
+}
+
+// libraryLog passes the HTTP library's messages to the log.
+type libraryLog struct{ log *meter.Log }
+
+// Write logs one message.
+func (l libraryLog) Write(p []byte) (int, error) {
+	l.log.Printf("%s", p)
+	return len(p), nil
+}
+
+func (e *Entry) handleReady(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != e.wire.ReadyPath {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if !e.isReady() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// isReady reports whether the entry should get callers.
+func (e *Entry) isReady() bool {
+	return !e.stopping.Load() && e.rules.Get() != nil && e.fleet.Count() > 0
+}
+
+// sweep closes idle connections and drops lapsed upstreams.
+func (e *Entry) sweep(ctx context.Context) error {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			e.pool.Sweep(now)
+			for _, id := range e.fleet.Expire(now) {
+				e.model.Forget(id)
+				e.log.With("upstream", id).Infof("did not register again after the store's outage")
+			}
+			if t := e.rules.Get(); t != nil {
+				e.idle.sweep(now, t.Document.Limits.Idle)
+			}
+		}
+	}
+}
+
+// Drain stops being ready, then waits for the requests in progress, at most
+// until limit.
+func (e *Entry) Drain(limit time.Duration) {
+	end := time.Now().Add(limit - stopMargin)
+	e.stopping.Store(true)
+	e.idle.sweep(time.Now(), 0)
+	time.Sleep(min(settleTime, time.Until(end)))
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	if err := e.callers.Shutdown(ctx); err != nil {
+		e.log.Warnf("requests still in progress at the end of the stop: %v", err)
+	}
+}
+
+// Close stops the servers and loops and waits for them.
+func (e *Entry) Close() {
+	_ = e.callers.Close() // Closing twice is no fault.
+	_ = e.ready.Close()
+	e.serving.Wait()
+	e.cancel()
+	_ = e.group.Wait() // The loops return no errors.
+	e.pool.Close()
+}
--- /dev/null
+++ b/direct/follow.go
@@ -0,0 +1,163 @@
+package direct
+
+import (
+	"context"
+	"time"
+
+	"cactustide/fleet"
+	"cactustide/meter"
+	"cactustide/store"
+)
+
+const (
+	// watchWait is how long a watch waits for a change.
+	watchWait = 3 * time.Second
+	// listLimit bounds a listing; the store answers in milliseconds.
+	listLimit = 800 * time.Millisecond
+	// firstPause and lastPause bound the growing time between failed calls.
+	firstPause = 100 * time.Millisecond
+	lastPause  = 500 * time.Millisecond
+)
+
+// follow keeps up with the items under a prefix.
+func (e *Entry) follow(ctx context.Context, prefix string) error {
+	f := follower{entry: e, prefix: prefix, log: e.log.With("prefix", prefix)}
+	for ctx.Err() == nil {
+		err := f.step()
+		f.note(time.Now(), err)
+		if err == nil {
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(f.pause):
+		}
+	}
+	return nil
+}
+
+// follower is the state of following one prefix.
+type follower struct {
+	entry    *Entry
+	prefix   string
+	log      *meter.Log
+	revision uint64
+	// down is since when the store does not answer; zero if it does.
+	down  time.Time
+	pause time.Duration
+}
+
+// step lists or watches once.
+func (f *follower) step() error {
+	if f.revision == 0 {
+		items, revision, err := f.entry.store.List(f.prefix, listLimit)
+		if err != nil {
+			return err
+		}
+		f.entry.replace(time.Now(), f.prefix, items)
+		f.revision = revision
+		f.log.With("revision", revision).Infof("listed %d items", len(items))
+		return nil
+	}
+	changes, err := f.entry.store.Watch(f.prefix, f.revision, watchWait)
+	if err != nil {
+		return err
+	}
+	if changes.Lost {
+		f.log.With("revision", f.revision).Warnf("the store dropped its history; listing anew")
+		f.revision = 0
+		return nil
+	}
+	for _, item := range changes.Items {
+		f.entry.apply(time.Now(), item)
+	}
+	f.revision = max(f.revision, changes.Revision)
+	return nil
+}
+
+// note logs when the store stops or starts answering, and sets the pause.
+func (f *follower) note(now time.Time, err error) {
+	if err == nil {
+		if !f.down.IsZero() {
+			f.log.Infof("the store answers again after %v", now.Sub(f.down).Round(time.Millisecond))
+		}
+		f.down, f.pause = time.Time{}, firstPause
+		return
+	}
+	f.entry.fleet.NoteOutage(now)
+	if f.down.IsZero() {
+		f.down = now
+		f.log.Warnf("the store does not answer: %v", err)
+	}
+	f.pause = min(lastPause, max(firstPause, 2*f.pause))
+}
+
+// replace takes a whole listing of a prefix.
+func (e *Entry) replace(now time.Time, prefix string, items []store.Item) {
+	var list []fleet.Upstream
+	registrations := false
+	for _, item := range items {
+		c, err := e.items.Decode(item)
+		switch {
+		case err != nil:
+			e.log.With("key", item.Key).With("revision", item.Revision).Warnf("unreadable item; the last good one stays: %v", err)
+			if c.Invalid != "" {
+				registrations = true
+			}
+		case c.Document != nil:
+			e.adopt(c)
+		case c.Upstream != nil:
+			registrations = true
+			list = append(list, *c.Upstream)
+		}
+	}
+	if !registrations && len(items) > 0 {
+		return
+	}
+	if prefix == e.items.Prefixes[0] {
+		return
+	}
+	for id, change := range e.fleet.Replace(now, list) {
+		e.noteUpstream(id, change)
+	}
+}
+
+// apply takes one change.
+func (e *Entry) apply(now time.Time, item store.Item) {
+	c, err := e.items.Decode(item)
+	if err != nil {
+		e.log.With("key", item.Key).With("revision", item.Revision).Warnf("unreadable item; the last good one stays: %v", err)
+		return
+	}
+	switch {
+	case c.Document != nil:
+		e.adopt(c)
+	case c.Upstream != nil:
+		e.noteUpstream(c.Upstream.ID, e.fleet.Put(*c.Upstream))
+	case c.Removed != "":
+		e.noteUpstream(c.Removed, e.fleet.Remove(now, c.Removed))
+	}
+}
+
+func (e *Entry) adopt(c Change) {
+	if !e.rules.Adopt(c.Document) {
+		return
+	}
+	e.scope.Gauge("version").Update(float64(c.Document.Version))
+	e.log.With("version", c.Document.Version).Infof("configuration in force: %d routes, %d services, %d teams",
+		len(c.Document.Routes), len(c.Document.Services), len(c.Document.Teams))
+}
+
+func (e *Entry) noteUpstream(id string, change fleet.Change) {
+	switch change {
+	case fleet.ChangeNone:
+		return
+	case fleet.ChangeGone:
+		e.model.Forget(id)
+	}
+	line := e.log.With("upstream", id).With("change", string(change))
+	if u, ok := e.fleet.Find(id); ok {
+		line = line.With("address", u.Address).With("revision", u.Revision).With("born", u.Born)
+	}
+	line.Infof("upstream changed")
+}
--- /dev/null
+++ b/direct/handle.go
@@ -0,0 +1,239 @@
+package direct
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"cactustide/meter"
+	"cactustide/place"
+	"cactustide/rules"
+)
+
+// request is one attempt of a caller.
+type request struct {
+	ask     Ask
+	route   *rules.Route
+	service *rules.Service
+	owner   rules.Owner
+	// tier of the team, or else of the route.
+	tier    int
+	version uint64
+	method  string
+	// target is the path and query as the caller sent them.
+	target string
+	host   string
+	header http.Header
+	body   []byte
+	// hasBody tells an empty body from none.
+	hasBody  bool
+	arrived  time.Time
+	deadline time.Time
+	work     place.Work
+	log      *meter.Log
+	// sends counts the sends that reached an upstream.
+	sends int
+}
+
+// Reasons of answers of our own.
+const (
+	reasonUnready  = "no configuration yet"
+	reasonRoute    = "no route"
+	reasonKey      = "unknown key"
+	reasonHeader   = "header too large"
+	reasonBody     = "body too large"
+	reasonInvalid  = "unreadable request"
+	reasonMemory   = "too many bodies in progress"
+	reasonUpstream = "no upstream"
+	reasonFull     = "upstreams are full"
+	reasonBroken   = "the upstream broke off"
+	reasonTimeout  = "time is up"
+	reasonCrash    = "the request crashed upstreams"
+)
+
+// handle is the callers' end: bind, check, forward, write.
+func (e *Entry) handle(w http.ResponseWriter, r *http.Request) {
+	now := time.Now()
+	q, status, reason := e.bind(now, w, r)
+	if e.stopping.Load() || isChunked(r) {
+		// A chunked request may be followed by bytes that another reader would take
+		// for its rest; they die with the connection.
+		w.Header().Set("Connection", "close")
+	}
+	if status != 0 {
+		e.answer(w, q, status, reason, 0)
+		return
+	}
+	defer e.bodies.give(int64(len(q.body)))
+	e.forward(w, r, q)
+}
+
+func isChunked(r *http.Request) bool { return len(r.TransferEncoding) > 0 }
+
+// bind reads and checks a request. A status other than 0 is the answer.
+func (e *Entry) bind(now time.Time, w http.ResponseWriter, r *http.Request) (*request, int, string) {
+	q := &request{ask: e.wire.ReadAsk(r.Header), method: r.Method, host: r.Host, header: r.Header, arrived: now, log: e.log}
+	table := e.rules.Get()
+	if table == nil {
+		return q, http.StatusServiceUnavailable, reasonUnready
+	}
+	q.version = table.Document.Version
+	q.target = r.RequestURI
+	if !strings.HasPrefix(q.target, "/") {
+		q.target = r.URL.RequestURI()
+	}
+	path, _, _ := strings.Cut(q.target, "?")
+	q.route = table.FindRoute(r.Host, path)
+	if q.route == nil {
+		return q, http.StatusNotFound, reasonRoute
+	}
+	if table.NeedsKey(q.route) {
+		owner, ok := table.FindOwner(q.ask.Key)
+		if !ok {
+			return q, http.StatusUnauthorized, reasonKey
+		}
+		q.owner = owner
+	}
+	limits := table.Document.Limits
+	if limits.Header > 0 && headSize(r) > limits.Header {
+		return q, http.StatusRequestHeaderFieldsTooLarge, reasonHeader
+	}
+	if q.ask.ID == "" {
+		return q, http.StatusBadRequest, reasonInvalid
+	}
+	if status, reason := e.readBody(w, r, q, limits.Body); status != 0 {
+		return q, status, reason
+	}
+	e.prepare(q, table)
+	return q, 0, ""
+}
+
+// prepare fills what the decisions need.
+func (e *Entry) prepare(q *request, table *rules.Table) {
+	q.tier = q.route.Tier
+	if q.owner.Tiered {
+		q.tier = q.owner.Tier
+	}
+	q.service = table.FindService(q.route.PickService(q.ask.ID))
+	wait := q.route.Timeout
+	if q.ask.Limited {
+		wait = min(wait, q.ask.Left)
+	}
+	q.deadline = q.arrived.Add(wait)
+	q.work = place.Work{
+		Parts:   q.ask.Parts,
+		Prompt:  q.ask.Prompt,
+		Output:  q.ask.Output,
+		Target:  q.route.Target,
+		Pause:   q.route.Pause,
+		Tier:    q.tier,
+		Centre:  e.settings.Centre,
+		Bytes:   len(q.body) + usualAnswer,
+		Started: q.arrived,
+	}
+	if q.ask.Hint > 0 {
+		q.work.Output = min(q.ask.Output, q.ask.Hint)
+	}
+	if q.service != nil && q.service.Engine != nil {
+		q.work.Engine = true
+		q.work.Memory = q.service.Engine.Memory
+		q.work.Stride = q.service.Engine.Stride
+	}
+}
+
+// usualAnswer is assumed for an answer's size, bytes.
+const usualAnswer = 2000
+
+// headSize is the size of a request's head, bytes.
+func headSize(r *http.Request) int64 {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len(r.Host) + len("Host: ") + 4
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	return int64(n)
+}
+
+// readBody reads the whole body, so that an attempt can be repeated and an
+// early answer never leaves a half-sent request behind.
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request, q *request, limit int64) (int, string) {
+	if r.ContentLength == 0 {
+		q.hasBody = r.Header.Get("Content-Length") != ""
+		return 0, ""
+	}
+	q.hasBody = true
+	if limit > 0 {
+		if r.ContentLength > limit {
+			return http.StatusRequestEntityTooLarge, reasonBody
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, limit)
+	}
+	var data []byte
+	var err error
+	if r.ContentLength > 0 {
+		if !e.bodies.take(r.ContentLength) {
+			return http.StatusServiceUnavailable, reasonMemory
+		}
+		data = make([]byte, r.ContentLength)
+		if _, err = io.ReadFull(r.Body, data); err != nil {
+			e.bodies.give(r.ContentLength)
+		} else if _, err = r.Body.Read(make([]byte, 1)); err == io.EOF {
+			err = nil // Reading to the end lets the server watch for the caller's leaving.
+		}
+	} else {
+		data, err = io.ReadAll(r.Body)
+		if err == nil && !e.bodies.take(int64(len(data))) {
+			return http.StatusServiceUnavailable, reasonMemory
+		}
+	}
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return http.StatusRequestEntityTooLarge, reasonBody
+	}
+	if err != nil {
+		return http.StatusBadRequest, reasonInvalid
+	}
+	q.body = data
+	return 0, ""
+}
+
+// answer gives a caller an answer of our own and logs it.
+func (e *Entry) answer(w http.ResponseWriter, q *request, status int, reason string, after time.Duration) {
+	if q.ask.ID != "" {
+		e.wire.WriteID(w.Header(), q.ask.ID)
+	}
+	if status == http.StatusServiceUnavailable {
+		after = max(after, leastAfter)
+		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	}
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.Header().Set("Content-Length", strconv.Itoa(len(reason)+1))
+	w.WriteHeader(status)
+	_, err := io.WriteString(w, reason+"\n")
+	e.logEnd(q, status, reason, err)
+}
+
+// leastAfter is the shortest time after which a refused caller may come back.
+const leastAfter = 200 * time.Millisecond
+
+// logEnd writes the line that tells how a request ended.
+func (e *Entry) logEnd(q *request, status int, outcome string, err error) {
+	now := time.Now()
+	line := e.log.With("request", q.ask.ID).With("status", status).With("version", q.version).
+		With("sends", q.sends).With("ms", now.Sub(q.arrived).Milliseconds())
+	name := ""
+	if q.route != nil {
+		name = q.route.Name
+		line = line.With("route", name)
+	}
+	if err != nil {
+		line = line.With("error", err.Error())
+	}
+	line.Infof("%s", outcome)
+	e.scope.Tagged(map[string]string{"status": strconv.Itoa(status), "outcome": outcome}).Counter("requests").Inc(1)
+	e.scope.Timer("answer").Record(now.Sub(q.arrived))
+}
--- /dev/null
+++ b/direct/idle.go
@@ -0,0 +1,64 @@
+package direct
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// idleMargin is how much longer than the configured limit a caller's idle
+// connection stays open, as a factor. Callers reuse connections up to the limit.
+const idleMargin = 1.5
+
+// idleSet knows the callers' connections that carry no request. The HTTP
+// server's own limit cannot change while it runs.
+type idleSet struct {
+	mu    sync.Mutex
+	since map[net.Conn]time.Time
+	// longest is the largest limit seen so far, because callers may still go by it.
+	longest time.Duration
+}
+
+func (s *idleSet) note(c net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if state == http.StateIdle {
+		s.since[c] = time.Now()
+		return
+	}
+	delete(s.since, c)
+}
+
+// sweep closes the connections that were idle for longer than the limit.
+func (s *idleSet) sweep(now time.Time, limit time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if limit > 0 {
+		s.longest = max(s.longest, limit)
+		limit = time.Duration(idleMargin * float64(s.longest))
+	}
+	for c, since := range s.since {
+		if now.Sub(since) >= limit {
+			_ = c.Close() // It carries nothing; an error changes nothing.
+		}
+	}
+}
+
+// bodies bounds the memory of request bodies in progress.
+type bodies struct {
+	limit int64
+	used  atomic.Int64
+}
+
+// take reserves memory and reports whether there was room.
+func (b *bodies) take(n int64) bool {
+	if b.used.Add(n) <= b.limit {
+		return true
+	}
+	b.used.Add(-n)
+	return false
+}
+
+func (b *bodies) give(n int64) { b.used.Add(-n) }
--- /dev/null
+++ b/fleet/registry.go
@@ -0,0 +1,265 @@
+package fleet
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"sync"
+	"time"
+)
+
+// lapseHold is how long registrations that vanished around an outage of the
+// store are kept. Upstreams that live register again within that time.
+const lapseHold = 2 * time.Second
+
+// outageMargin is how long after the store's return a removal still counts as
+// caused by the outage.
+const outageMargin = 2 * time.Second
+
+type member struct {
+	Upstream
+	health health
+	// lapsed is when the registration vanished during an outage; zero if it stands.
+	lapsed time.Time
+}
+
+// Registry holds the upstreams by id.
+type Registry struct {
+	mu      sync.RWMutex
+	members map[string]*member
+	// outage is when the store last failed to answer.
+	outage time.Time
+}
+
+// NewRegistry returns an empty registry.
+func NewRegistry() *Registry { return &Registry{members: map[string]*member{}} }
+
+// Change says what a registration changed.
+type Change string
+
+// Changes.
+const (
+	ChangeNone    Change = ""
+	ChangeNew     Change = "new"
+	ChangeReborn  Change = "reborn"
+	ChangeMoved   Change = "moved"
+	ChangeDrain   Change = "draining"
+	ChangeReady   Change = "ready"
+	ChangeGone    Change = "gone"
+	ChangeLapsed  Change = "lapsed"
+	ChangeReplay  Change = "old"
+	ChangeRenewed Change = "renewed"
+)
+
+// Put records a registration and says what it changed. One that is older than
+// what is known of the same lifetime is ignored.
+func (r *Registry) Put(u Upstream) Change {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m, ok := r.members[u.ID]
+	if !ok {
+		r.members[u.ID] = &member{Upstream: u}
+		return ChangeNew
+	}
+	if u.Born < m.Born || (u.Revision != 0 && u.Revision < m.Revision) {
+		return ChangeReplay
+	}
+	if u.Born == m.Born && u.Sequence < m.Sequence {
+		return ChangeReplay
+	}
+	change := ChangeNone
+	switch {
+	case u.Born != m.Born:
+		change = ChangeReborn
+		m.health = health{}
+	case u.Address != m.Address || u.Service != m.Service:
+		change = ChangeMoved
+		m.health = health{}
+	case u.Draining && !m.Draining:
+		change = ChangeDrain
+	case !u.Draining && m.Draining:
+		change = ChangeReady
+	case !m.lapsed.IsZero():
+		change = ChangeRenewed
+	}
+	m.Upstream = u
+	m.lapsed = time.Time{}
+	return change
+}
+
+// Remove records that a registration vanished. Around an outage of the store
+// the upstream is kept for a while, because the store may have lost it.
+func (r *Registry) Remove(now time.Time, id string) Change {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m, ok := r.members[id]
+	if !ok || !m.lapsed.IsZero() {
+		return ChangeNone
+	}
+	if !m.Draining && !r.outage.IsZero() && now.Sub(r.outage) < outageMargin {
+		m.lapsed = now
+		return ChangeLapsed
+	}
+	delete(r.members, id)
+	return ChangeGone
+}
+
+// Replace records the whole list and returns the changes by id.
+func (r *Registry) Replace(now time.Time, list []Upstream) map[string]Change {
+	changes := map[string]Change{}
+	listed := map[string]bool{}
+	for _, u := range list {
+		listed[u.ID] = true
+		if c := r.Put(u); c != ChangeNone {
+			changes[u.ID] = c
+		}
+	}
+	for _, id := range r.ids() {
+		if listed[id] {
+			continue
+		}
+		if c := r.Remove(now, id); c != ChangeNone {
+			changes[id] = c
+		}
+	}
+	return changes
+}
+
+func (r *Registry) ids() []string {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	ids := make([]string, 0, len(r.members))
+	for id := range r.members {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// NoteOutage records that the store failed to answer.
+func (r *Registry) NoteOutage(now time.Time) {
+	r.mu.Lock()
+	r.outage = now
+	r.mu.Unlock()
+}
+
+// Expire drops the lapsed registrations that did not come back after the store
+// did, and returns their ids.
+func (r *Registry) Expire(now time.Time) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now.Sub(r.outage) < lapseHold {
+		return nil
+	}
+	var gone []string
+	for id, m := range r.members {
+		if !m.lapsed.IsZero() && now.Sub(m.lapsed) >= lapseHold {
+			delete(r.members, id)
+			gone = append(gone, id)
+		}
+	}
+	slices.Sort(gone)
+	return gone
+}
+
+// Find returns the upstream of that id.
+func (r *Registry) Find(id string) (Upstream, bool) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	m, ok := r.members[id]
+	if !ok {
+		return Upstream{}, false
+	}
+	return m.Upstream, true
+}
+
+// Count returns the number of upstreams known.
+func (r *Registry) Count() int {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return len(r.members)
+}
+
+// List returns all upstreams by id.
+func (r *Registry) List() []Upstream {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	list := make([]Upstream, 0, len(r.members))
+	for _, m := range r.members {
+		list = append(list, m.Upstream)
+	}
+	slices.SortFunc(list, func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
+
+// Candidate is an upstream that may get a request.
+type Candidate struct {
+	Upstream
+	// Failures is the smoothed share of requests that failed there.
+	Failures float64
+	// Banned upstreams showed signs of being away a moment ago.
+	Banned bool
+}
+
+// Candidates returns the upstreams of a service that may get new work, by id.
+func (r *Registry) Candidates(now time.Time, service string) []Candidate {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	var list []Candidate
+	for _, m := range r.members {
+		if m.Service != service || m.Draining {
+			continue
+		}
+		list = append(list, Candidate{
+			Upstream: m.Upstream,
+			Failures: m.health.share(now),
+			Banned:   now.Before(m.health.banned),
+		})
+	}
+	slices.SortFunc(list, func(a, b Candidate) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
+
+func (h *health) share(now time.Time) float64 {
+	if h.failures == 0 {
+		return 0
+	}
+	return h.failures * math.Exp2(-float64(now.Sub(h.seen))/float64(failHalf))
+}
+
+// Record notes how a request ended at an upstream.
+func (r *Registry) Record(now time.Time, id string, failed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m, ok := r.members[id]
+	if !ok {
+		return
+	}
+	outcome := 0.0
+	if failed {
+		outcome = 1
+	}
+	m.health.failures = m.health.share(now) + (outcome-m.health.share(now))/failWindow
+	m.health.seen = now
+	if !failed {
+		m.health.ban = 0
+		m.health.banned = time.Time{}
+	}
+}
+
+// Ban keeps new work away from an upstream whose host shows no sign of life.
+// It returns for how long.
+func (r *Registry) Ban(now time.Time, id string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m, ok := r.members[id]
+	if !ok {
+		return 0
+	}
+	if now.Before(m.health.banned) {
+		return m.health.banned.Sub(now)
+	}
+	m.health.ban = min(lastBan, max(firstBan, 2*m.health.ban))
+	m.health.banned = now.Add(m.health.ban)
+	return m.health.ban
+}
--- /dev/null
+++ b/fleet/upstream.go
@@ -0,0 +1,49 @@
+// Package fleet knows the upstreams: which are registered, which leave, which
+// are suspected. It does no I/O and takes the time as an argument.
+package fleet
+
+import "time"
+
+// Upstream is what an upstream registered of itself.
+type Upstream struct {
+	ID      string
+	Service string
+	// Address is IP and port.
+	Address string
+	Centre  string
+	Slots   int
+	// Draining upstreams finish what they have and get nothing new.
+	Draining bool
+	// Sequence rises with each registration of one lifetime.
+	Sequence int64
+	// Born is the start of the lifetime, Unix milliseconds. The same id with
+	// another Born is another process that knows nothing of the one before.
+	Born int64
+	// Revision of the registration in the platform's store.
+	Revision uint64
+}
+
+// Suspicion bounds.
+const (
+	// firstBan is how long an upstream gets no new work after a sign that its
+	// host is away; each further sign doubles it up to lastBan.
+	firstBan = 400 * time.Millisecond
+	lastBan  = 3 * time.Second
+	// failWindow is the number of recent outcomes that the failure share is
+	// smoothed over.
+	failWindow = 8.0
+)
+
+// health is what requests showed of an upstream.
+type health struct {
+	banned time.Time
+	ban    time.Duration
+	// failures is the smoothed share of requests that failed.
+	failures float64
+	// seen is when the share last changed.
+	seen time.Time
+}
+
+// failHalf is the time after which half of the failure share is forgotten, so
+// that an upstream which got no work is tried again.
+const failHalf = 2 * time.Second
--- /dev/null
+++ b/place/engine.go
@@ -0,0 +1,140 @@
+package place
+
+import (
+	"container/list"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Part is a part of a prompt. Requests share parts.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// chain returns a hash for each part that covers all parts before it, because a
+// cached part only helps if those before it are cached too.
+func chain(parts []Part) []uint64 {
+	hashes := make([]uint64, len(parts))
+	var d xxhash.Digest
+	d.Reset()
+	for i, p := range parts {
+		_, _ = d.WriteString(p.ID) // A hash never fails.
+		_, _ = d.Write([]byte{0})
+		hashes[i] = d.Sum64()
+	}
+	return hashes
+}
+
+// run is a request that an upstream works on, as far as is known.
+type run struct {
+	pause time.Duration
+	// tokens of memory that it holds.
+	tokens int
+	// read is when its prompt is expected to be read.
+	read time.Time
+	// end is when it is expected to end; told runs are dropped then.
+	end time.Time
+	// told runs were sent by another entry.
+	told bool
+}
+
+// cached is a part that an upstream holds.
+type cached struct {
+	hash   uint64
+	tokens int
+}
+
+// upstream is what is believed of one upstream.
+type upstream struct {
+	runs map[uint64]*run
+	// busy is when the prompts sent so far are expected to be read.
+	busy time.Time
+	// pressure is the smoothed share of time spent reading prompts.
+	pressure float64
+	pressed  time.Time
+	parts    map[uint64]*list.Element
+	order    *list.List // Of cached; the least recently used is at the back.
+	held     int
+	// memory of running requests and cached parts, tokens.
+	memory int
+	// reported is the load that the upstream last told, and when.
+	reported int
+	heard    time.Time
+	// after counts what was started and ended here since then.
+	after int
+	born  int64
+}
+
+func newUpstream(born int64) *upstream {
+	return &upstream{runs: map[uint64]*run{}, parts: map[uint64]*list.Element{}, order: list.New(), born: born}
+}
+
+// cachedTokens returns how many tokens of the prompt's start are cached.
+func (u *upstream) cachedTokens(hashes []uint64, parts []Part) int {
+	n := 0
+	for i, h := range hashes {
+		if _, ok := u.parts[h]; !ok {
+			break
+		}
+		n += parts[i].Tokens
+	}
+	return n
+}
+
+// touch records that the parts are cached and used now.
+func (u *upstream) touch(hashes []uint64, parts []Part) {
+	for i, h := range hashes {
+		if e, ok := u.parts[h]; ok {
+			u.order.MoveToFront(e)
+			continue
+		}
+		u.parts[h] = u.order.PushFront(cached{hash: h, tokens: parts[i].Tokens})
+		u.held += parts[i].Tokens
+	}
+	u.evict()
+}
+
+// evict drops the least recently used parts that have no room beside the
+// running requests.
+func (u *upstream) evict() {
+	if u.memory <= 0 {
+		return
+	}
+	running := 0
+	for _, r := range u.runs {
+		running += r.tokens
+	}
+	for u.held+running > u.memory {
+		e := u.order.Back()
+		if e == nil {
+			return
+		}
+		c := e.Value.(cached)
+		u.order.Remove(e)
+		delete(u.parts, c.hash)
+		u.held -= c.tokens
+	}
+}
+
+// expire drops the told runs that should have ended by now.
+func (u *upstream) expire(now time.Time) {
+	for id, r := range u.runs {
+		if r.told && now.After(r.end) {
+			delete(u.runs, id)
+		}
+	}
+}
+
+// backlog is the time until the prompts sent so far are read.
+func (u *upstream) backlog(now time.Time) time.Duration { return max(0, u.busy.Sub(now)) }
+
+// count is the number of requests there: what the entries know, or what the
+// upstream told lately if that is more.
+func (u *upstream) count(now time.Time) int {
+	if now.Sub(u.heard) < reportLife {
+		return max(len(u.runs), u.reported+u.after)
+	}
+	return len(u.runs)
+}
--- /dev/null
+++ b/place/model.go
@@ -0,0 +1,298 @@
+// Package place chooses the upstream for a request by the harm that the request
+// would do there: to itself, when its first token comes late, and to those that
+// run there, whose tokens wait while a prompt is read. It keeps a model of each
+// upstream from what entries sent and upstreams told. It does no I/O and takes
+// the time as an argument.
+package place
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"cactustide/fleet"
+)
+
+// Published behaviour of engines: prompts are read in chunks between the tokens
+// of what runs.
+const chunkTokens = 2048
+
+// First guesses of an engine's times, replaced by what is seen. They are of the
+// size that published engines show for models of 8 to 70 billion parameters.
+const (
+	guessRate = 75.0                  // Prompt tokens read in a millisecond.
+	guessPair = 0.5                   // Milliseconds for a million pairs of attention.
+	guessStep = 6 * time.Millisecond  // Between two tokens of one request.
+	guessWork = 40 * time.Millisecond // Of a plain request.
+)
+
+const (
+	// reportLife is how long an upstream's own word on its load is believed.
+	reportLife = 300 * time.Millisecond
+	// pressureLife is the time over which the share of reading is smoothed.
+	pressureLife = 2 * time.Second
+	// scaleWindow is the number of observations that a learnt value is smoothed over.
+	scaleWindow = 40.0
+	// minScale and maxScale bound what one observation may teach.
+	minScale = 0.25
+	maxScale = 4.0
+	// cleanBacklog is the largest backlog at a send whose time still teaches.
+	cleanBacklog = 20 * time.Millisecond
+	// usualOutput is assumed where a caller gives no estimate, tokens.
+	usualOutput = 150
+	// toldMargin stretches the expected end of runs that other entries told of.
+	toldMargin = 1.3
+)
+
+// Work is what a request needs.
+type Work struct {
+	Parts []Part
+	// Prompt and Output are tokens; Output is an estimate.
+	Prompt, Output int
+	// Target of the first event or of the answer, Pause between events.
+	Target, Pause time.Duration
+	Tier          int
+	Centre        string
+	// Bytes of the request and about those of the answer.
+	Bytes int
+	// Engine says that a model engine runs it.
+	Engine bool
+	Memory int
+	Stride int
+	// Started is when the caller's wait began.
+	Started time.Time
+	hashes  []uint64
+}
+
+// service is what was learnt of a service's upstreams.
+type service struct {
+	// scale corrects the predicted time to read a prompt.
+	scale float64
+	// base is added to it: the time to the first token of a short prompt.
+	base time.Duration
+	step time.Duration
+	work time.Duration
+}
+
+// Settings of the choice. The zero value of a field means its default.
+type Settings struct {
+	// Read is the price of a second of reading prompts, in late answers.
+	Read float64
+	// Byte is the price of a megabyte between data centres, in late answers.
+	Byte float64
+}
+
+// Defaults of Settings.
+const (
+	DefaultRead = 0.5
+	DefaultByte = 3.0
+)
+
+// Model holds what is believed of all upstreams.
+type Model struct {
+	mu        sync.Mutex
+	settings  Settings
+	upstreams map[string]*upstream
+	services  map[string]*service
+	sequence  uint64
+}
+
+// New returns an empty model.
+func New(s Settings) *Model {
+	if s.Read == 0 {
+		s.Read = DefaultRead
+	}
+	if s.Byte == 0 {
+		s.Byte = DefaultByte
+	}
+	return &Model{settings: s, upstreams: map[string]*upstream{}, services: map[string]*service{}}
+}
+
+func (m *Model) service(name string) *service {
+	s, ok := m.services[name]
+	if !ok {
+		s = &service{scale: 1, step: guessStep, work: guessWork}
+		m.services[name] = s
+	}
+	return s
+}
+
+func (m *Model) upstream(u fleet.Upstream) *upstream {
+	have, ok := m.upstreams[u.ID]
+	if !ok || have.born != u.Born {
+		have = newUpstream(u.Born)
+		m.upstreams[u.ID] = have
+	}
+	return have
+}
+
+// Forget drops what is believed of an upstream that is gone.
+func (m *Model) Forget(id string) {
+	m.mu.Lock()
+	delete(m.upstreams, id)
+	m.mu.Unlock()
+}
+
+// readTime predicts how long an engine takes to read tokens that stand behind
+// others.
+func (s *service) readTime(tokens, before int) time.Duration {
+	if tokens <= 0 {
+		return 0
+	}
+	pairs := float64(tokens) * (float64(before) + float64(tokens)/2) / 1e6
+	ms := float64(tokens)/guessRate + pairs*guessPair
+	return time.Duration(ms * s.scale * float64(time.Millisecond))
+}
+
+// Forecast is what a choice expects.
+type Forecast struct {
+	// First is the expected time to the first event or the answer.
+	First time.Duration
+	// Cached tokens of the prompt.
+	Cached int
+	// Backlog is the reading to be done there before.
+	Backlog time.Duration
+	// Running is the number of requests believed to be there.
+	Running int
+	// Cost is the expected harm, in late answers.
+	Cost float64
+}
+
+// Choice is a chosen upstream.
+type Choice struct {
+	Upstream fleet.Upstream
+	Forecast Forecast
+}
+
+// Choose returns the candidate with the least expected harm, or false if there
+// is none. Upstreams that showed signs of being away are taken last.
+func (m *Model) Choose(now time.Time, serviceName string, candidates []fleet.Candidate, w *Work) (Choice, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if w.hashes == nil {
+		w.hashes = chain(w.Parts)
+	}
+	s := m.service(serviceName)
+	var best Choice
+	found := false
+	for _, c := range candidates {
+		f := m.forecast(now, s, c, w)
+		if !found || f.Cost < best.Forecast.Cost {
+			best, found = Choice{Upstream: c.Upstream, Forecast: f}, true
+		}
+	}
+	return best, found
+}
+
+func (m *Model) forecast(now time.Time, s *service, c fleet.Candidate, w *Work) Forecast {
+	u := m.upstream(c.Upstream)
+	u.expire(now)
+	var f Forecast
+	if w.Engine {
+		f = s.forecastEngine(now, u, c, w, m.settings)
+	} else {
+		f = s.forecastPlain(now, u, c)
+		f.Cost = lateness(now.Sub(w.Started)+f.First, w.Target)
+	}
+	if c.Centre != w.Centre {
+		f.Cost += m.settings.Byte * float64(w.Bytes) / (1 << 20)
+	}
+	f.Cost += failureCost * c.Failures
+	if c.Banned {
+		f.Cost += bannedCost
+	}
+	return f
+}
+
+const (
+	// failureCost is the harm of an answer that fails.
+	failureCost = 2.0
+	// bannedCost puts upstreams that seem away behind all others.
+	bannedCost = 100.0
+	// fullCost is the harm of waiting behind a full engine, for each request ahead.
+	fullCost = 0.05
+)
+
+func (s *service) forecastPlain(now time.Time, u *upstream, c fleet.Candidate) Forecast {
+	n := u.count(now)
+	wait := float64(max(0, n+1-c.Slots)) / float64(max(1, c.Slots))
+	first := s.work + time.Duration(wait*float64(s.work)) + time.Duration(float64(n)/float64(max(1, c.Slots))*float64(time.Millisecond))
+	return Forecast{First: first, Running: n}
+}
+
+func (s *service) forecastEngine(now time.Time, u *upstream, c fleet.Candidate, w *Work, price Settings) Forecast {
+	total := w.Prompt
+	have := min(total, u.cachedTokens(w.hashes, w.Parts))
+	read := s.readTime(total-have, have)
+	backlog := u.backlog(now)
+	n := u.count(now)
+	full := max(0, n+1-c.Slots)
+	f := Forecast{Cached: have, Backlog: backlog, Running: n}
+	f.First = backlog + read + s.base + s.step + time.Duration(full)*s.step*usualOutput/time.Duration(max(1, c.Slots))
+	f.Cost = lateness(now.Sub(w.Started)+f.First, w.Target)
+	f.Cost += price.Read * read.Seconds()
+	f.Cost += fullCost * float64(full)
+	f.Cost += s.harm(now, u, w, have, backlog, read)
+	f.Cost += s.ownPause(u, w, now)
+	f.Cost += crowdCost * float64(n) / float64(max(1, c.Slots))
+	return f
+}
+
+// crowdCost prefers emptier engines among equals; each request more slows the
+// tokens of all a little.
+const crowdCost = 0.05
+
+// gapDuring predicts the longest time between two events while prompts are read
+// for a time.
+func (s *service) gapDuring(w *Work, reading time.Duration, before int) time.Duration {
+	stride := time.Duration(max(1, w.Stride))
+	return stride*s.step + min(reading, stride*s.readTime(chunkTokens, before))
+}
+
+// harm is the number of running requests whose pauses become too long if the
+// prompt is read there too.
+func (s *service) harm(now time.Time, u *upstream, w *Work, before int, backlog, read time.Duration) float64 {
+	if read == 0 {
+		return 0
+	}
+	was := s.gapDuring(w, backlog, before)
+	is := s.gapDuring(w, backlog+read, before)
+	sum := 0.0
+	for _, r := range u.runs {
+		if r.pause > 0 {
+			sum += lateness(is, r.pause) - lateness(was, r.pause)
+		}
+	}
+	return sum
+}
+
+// ownPause is the chance that the request's own pauses become too long, as the
+// upstream reads prompts for a share of the time.
+func (s *service) ownPause(u *upstream, w *Work, now time.Time) float64 {
+	if w.Pause == 0 {
+		return 0
+	}
+	stride := time.Duration(max(1, w.Stride))
+	worst := stride*s.step + stride*s.readTime(chunkTokens, usualBefore)
+	return lateness(worst, w.Pause) * min(1, u.pressureAt(now))
+}
+
+// usualBefore is the number of tokens that stand before a usual chunk.
+const usualBefore = 8000
+
+// pressureAt is the share of time spent reading, decayed until now.
+func (u *upstream) pressureAt(now time.Time) float64 {
+	return u.pressure * math.Exp(-float64(now.Sub(u.pressed))/float64(pressureLife))
+}
+
+// lateness is the probability that something expected to take d takes longer
+// than limit: a logistic curve whose width is the uncertainty of the forecast.
+func lateness(d, limit time.Duration) float64 {
+	if limit <= 0 {
+		return 0
+	}
+	return 1 / (1 + math.Exp(-float64(d-limit)/(forecastWidth*float64(limit))))
+}
+
+// forecastWidth is the uncertainty of a forecast as a share of the limit.
+const forecastWidth = 0.12
--- /dev/null
+++ b/retry/window.go
@@ -0,0 +1,91 @@
+package retry
+
+import (
+	"sync"
+	"time"
+)
+
+// windowCells is the number of cells that a window is divided into.
+const windowCells = 20
+
+// safety is the part of the allowed repeats that is used, because entries count
+// apart and their clocks are not the judge's.
+const safety = 0.8
+
+// Window bounds repeats over a sliding window, for each service: a ratio of the
+// requests, and this entry's part of a slack that all entries share.
+type Window struct {
+	mu       sync.Mutex
+	ratio    float64
+	slack    float64
+	cell     time.Duration
+	services map[string]*cells
+}
+
+type cells struct {
+	requests [windowCells]int
+	repeats  [windowCells]int
+	// at is the number of the newest cell since the zero time.
+	at int64
+}
+
+// NewWindow returns the budget of one entry.
+func NewWindow(ratio, slack float64, window time.Duration) *Window {
+	return &Window{ratio: ratio, slack: slack, cell: window / (windowCells - 1), services: map[string]*cells{}}
+}
+
+func (w *Window) cells(now time.Time, service string) *cells {
+	c, ok := w.services[service]
+	if !ok {
+		c = &cells{}
+		w.services[service] = c
+	}
+	at := now.UnixNano() / int64(max(1, w.cell))
+	for steps := min(at-c.at, windowCells); steps > 0; steps-- {
+		i := (at - steps + 1) % windowCells
+		c.requests[i], c.repeats[i] = 0, 0
+	}
+	c.at = max(c.at, at)
+	return c
+}
+
+// Seen records a caller's request for a service.
+func (w *Window) Seen(now time.Time, service string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	c := w.cells(now, service)
+	c.requests[c.at%windowCells]++
+}
+
+// Take spends one repeat and reports whether the budget had it. entries is the
+// number of entries that share the slack.
+func (w *Window) Take(now time.Time, service string, entries int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	c := w.cells(now, service)
+	if float64(c.sum(&c.repeats))+1 > w.allowed(c, entries) {
+		return false
+	}
+	c.repeats[c.at%windowCells]++
+	return true
+}
+
+func (w *Window) allowed(c *cells, entries int) float64 {
+	return safety * (w.ratio*float64(c.sum(&c.requests)) + w.slack/float64(max(1, entries)))
+}
+
+// Left returns how many repeats the budget has.
+func (w *Window) Left(now time.Time, service string, entries int) float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	c := w.cells(now, service)
+	return w.allowed(c, entries) - float64(c.sum(&c.repeats))
+}
+
+func (c *cells) sum(of *[windowCells]int) int {
+	n := 0
+	for _, v := range of {
+		n += v
+	}
+	return n
+}
--- /dev/null
+++ b/rules/table.go
@@ -0,0 +1,136 @@
+package rules
+
+import (
+	"cmp"
+	"net"
+	"slices"
+	"strings"
+	"sync/atomic"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Owner is the team of an API key.
+type Owner struct {
+	Team   string
+	Tier   int
+	Tiered bool
+}
+
+// Table is a document prepared for look-ups. It never changes.
+type Table struct {
+	Document *Document
+	hosts    map[string][]*Route
+	keys     map[string]Owner
+	services map[string]*Service
+}
+
+// NewTable prepares a document.
+func NewTable(d *Document) *Table {
+	t := &Table{
+		Document: d,
+		hosts:    map[string][]*Route{},
+		keys:     map[string]Owner{},
+		services: map[string]*Service{},
+	}
+	for i := range d.Routes {
+		r := &d.Routes[i]
+		host := strings.ToLower(r.Host)
+		t.hosts[host] = append(t.hosts[host], r)
+	}
+	for _, routes := range t.hosts {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	for _, team := range d.Teams {
+		for _, key := range team.Keys {
+			t.keys[key] = Owner{Team: team.Name, Tier: team.Tier, Tiered: team.Tiered}
+		}
+	}
+	for i := range d.Services {
+		t.services[d.Services[i].Name] = &d.Services[i]
+	}
+	return t
+}
+
+// FindRoute returns the route with the longest prefix of the path, or nil. A
+// port in the host is ignored.
+func (t *Table) FindRoute(host, path string) *Route {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	for _, r := range t.hosts[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// FindService returns the named service, or nil.
+func (t *Table) FindService(name string) *Service { return t.services[name] }
+
+// FindOwner returns the team that holds an API key.
+func (t *Table) FindOwner(key string) (Owner, bool) {
+	o, ok := t.keys[key]
+	return o, ok
+}
+
+// NeedsKey reports whether the route's requests must carry an API key.
+func (t *Table) NeedsKey(r *Route) bool { return len(t.Document.Teams) > 0 && !r.Open }
+
+// PickService picks one of the route's services by weight. The same id always
+// gets the same service.
+func (r *Route) PickService(id string) string {
+	total := 0
+	for _, w := range r.Split {
+		total += w.Weight
+	}
+	if total <= 0 {
+		return ""
+	}
+	point := int(xxhash.Sum64String(id) % uint64(total))
+	for _, w := range r.Split {
+		if point < w.Weight {
+			return w.Service
+		}
+		point -= w.Weight
+	}
+	return ""
+}
+
+// MayRepeat reports whether a request of the route may run more than once.
+func (r *Route) MayRepeat() bool { return r.Kind == KindRepeatable }
+
+// Holder holds the version in force. Versions never go backwards.
+type Holder struct {
+	table atomic.Pointer[Table]
+}
+
+// Get returns the table in force, or nil before the first document.
+func (h *Holder) Get() *Table { return h.table.Load() }
+
+// Version returns the version in force; 0 means none.
+func (h *Holder) Version() uint64 {
+	if t := h.table.Load(); t != nil {
+		return t.Document.Version
+	}
+	return 0
+}
+
+// Adopt puts a document in force if its version is higher than the one in
+// force.
+func (h *Holder) Adopt(d *Document) bool {
+	if d.Version == 0 {
+		return false
+	}
+	next := NewTable(d)
+	for {
+		old := h.table.Load()
+		if old != nil && old.Document.Version >= d.Version {
+			return false
+		}
+		if h.table.CompareAndSwap(old, next) {
+			return true
+		}
+	}
+}
