Let entries tell each other what they sent, and price repeated reading

Entries behind a store that turns them away had no other source. Change: datagrams with sends, ends, doubts and positions; a call that fetches what a peer knows; the choice prices shared parts that some engine read lately. Ruled out: claims or tables in the store, whose writes would grow with requests.

--- a/direct/entry.go
+++ b/direct/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -18,6 +19,7 @@
 	"cactustide/fleet"
 	"cactustide/meter"
 	"cactustide/place"
+	"cactustide/relay"
 	"cactustide/retry"
 	"cactustide/rules"
 	"cactustide/setup"
@@ -58,6 +60,9 @@
 	pool     *conn.Pool
 	budget   *retry.Window
 	marks    *retry.Marks
+	hub      *relay.Hub
+	holdings []*holding
+	behind   []lag
 	bodies   bodies
 	idle     idleSet
 
@@ -71,7 +76,8 @@
 
 // New returns an entry. Start runs it.
 func New(s *setup.Direct, w Wire, items Items, client *store.Log, logger *meter.Log, m *meter.Meter) *Entry {
-	return &Entry{
+	process := rand.Uint64()
+	e := &Entry{
 		settings: s,
 		wire:     w,
 		items:    items,
@@ -80,13 +86,22 @@
 		scrape:   m.Scrape,
 		store:    client,
 		fleet:    fleet.NewRegistry(),
-		model:    place.New(place.Settings{}),
+		model:    place.New(place.Settings{Fresh: s.Fresh}),
 		pool:     conn.NewPool(),
 		budget:   retry.NewWindow(s.RetryRatio, s.RetrySlack, s.RetryWindow),
 		marks:    retry.NewMarks(),
 		bodies:   bodies{limit: int64(bodyShare * float64(s.Memory))},
 		idle:     idleSet{since: map[net.Conn]time.Time{}},
+		hub:      relay.New(s.Name, s.Peer, s.Seeds, process, logger),
+		behind:   make([]lag, len(items.Prefixes)),
 	}
+	for range items.Prefixes {
+		e.holdings = append(e.holdings, &holding{items: map[string]store.Item{}})
+	}
+	e.hub.OnBeat = e.hear
+	e.hub.Positions = e.positions
+	e.hub.Items = e.held
+	return e
 }
 
 // Start listens and starts the loops.
@@ -99,10 +114,17 @@
 		cancel()
 		return &Error{Op: "listen", Kind: KindListen, Err: err}
 	}
-	for _, prefix := range e.items.Prefixes {
-		e.group.Go(func() error { return e.follow(ctx, prefix) })
+	if err := e.hub.Start(time.Now()); err != nil {
+		cancel()
+		_ = e.callers.Close() // The first error tells why the start failed.
+		_ = e.ready.Close()
+		return err
+	}
+	for i := range e.items.Prefixes {
+		e.group.Go(func() error { return e.follow(ctx, i) })
 	}
 	e.group.Go(func() error { return e.sweep(ctx) })
+	e.group.Go(func() error { return e.catchUp(ctx) })
 	e.log.Infof("listening on %s, readiness on %s", e.settings.Listen, e.settings.Ready)
 	return nil
 }
@@ -207,5 +229,6 @@
 	e.serving.Wait()
 	e.cancel()
 	_ = e.group.Wait() // The loops return no errors.
+	e.hub.Close()
 	e.pool.Close()
 }
--- a/direct/follow.go
+++ b/direct/follow.go
@@ -20,8 +20,8 @@
 )
 
 // follow keeps up with the items under a prefix.
-func (e *Entry) follow(ctx context.Context, prefix string) error {
-	f := follower{entry: e, prefix: prefix, log: e.log.With("prefix", prefix)}
+func (e *Entry) follow(ctx context.Context, prefix int) error {
+	f := follower{entry: e, prefix: prefix, log: e.log.With("prefix", e.items.Prefixes[prefix])}
 	for ctx.Err() == nil {
 		err := f.step()
 		f.note(time.Now(), err)
@@ -39,7 +39,7 @@
 // follower is the state of following one prefix.
 type follower struct {
 	entry    *Entry
-	prefix   string
+	prefix   int
 	log      *meter.Log
 	revision uint64
 	// down is since when the store does not answer; zero if it does.
@@ -49,17 +49,19 @@
 
 // step lists or watches once.
 func (f *follower) step() error {
+	e := f.entry
+	prefix := e.items.Prefixes[f.prefix]
 	if f.revision == 0 {
-		items, revision, err := f.entry.store.List(f.prefix, listLimit)
+		items, revision, err := e.store.List(prefix, listLimit)
 		if err != nil {
 			return err
 		}
-		f.entry.replace(time.Now(), f.prefix, items)
+		e.replace(time.Now(), f.prefix, items, revision)
 		f.revision = revision
 		f.log.With("revision", revision).Infof("listed %d items", len(items))
 		return nil
 	}
-	changes, err := f.entry.store.Watch(f.prefix, f.revision, watchWait)
+	changes, err := e.store.Watch(prefix, f.revision, watchWait)
 	if err != nil {
 		return err
 	}
@@ -69,9 +71,10 @@
 		return nil
 	}
 	for _, item := range changes.Items {
-		f.entry.apply(time.Now(), item)
+		e.apply(time.Now(), f.prefix, item)
 	}
 	f.revision = max(f.revision, changes.Revision)
+	e.holdings[f.prefix].advance(f.revision)
 	return nil
 }
 
@@ -92,38 +95,26 @@
 	f.pause = min(lastPause, max(firstPause, 2*f.pause))
 }
 
-// replace takes a whole listing of a prefix.
-func (e *Entry) replace(now time.Time, prefix string, items []store.Item) {
-	var list []fleet.Upstream
-	registrations := false
+// replace takes a whole listing of a prefix, as of a revision.
+func (e *Entry) replace(now time.Time, prefix int, items []store.Item, revision uint64) {
+	removed := e.holdings[prefix].replace(items, revision)
 	for _, item := range items {
-		c, err := e.items.Decode(item)
-		switch {
-		case err != nil:
-			e.log.With("key", item.Key).With("revision", item.Revision).Warnf("unreadable item; the last good one stays: %v", err)
-			if c.Invalid != "" {
-				registrations = true
-			}
-		case c.Document != nil:
-			e.adopt(c)
-		case c.Upstream != nil:
-			registrations = true
-			list = append(list, *c.Upstream)
-		}
-	}
-	if !registrations && len(items) > 0 {
-		return
-	}
-	if prefix == e.items.Prefixes[0] {
-		return
+		e.take(now, item)
 	}
-	for id, change := range e.fleet.Replace(now, list) {
-		e.noteUpstream(id, change)
+	for _, key := range removed {
+		e.take(now, store.Item{Key: key, Revision: revision, Deleted: true})
 	}
 }
 
 // apply takes one change.
-func (e *Entry) apply(now time.Time, item store.Item) {
+func (e *Entry) apply(now time.Time, prefix int, item store.Item) {
+	if e.holdings[prefix].put(item) {
+		e.take(now, item)
+	}
+}
+
+// take acts on one item. One that cannot be read changes nothing.
+func (e *Entry) take(now time.Time, item store.Item) {
 	c, err := e.items.Decode(item)
 	if err != nil {
 		e.log.With("key", item.Key).With("revision", item.Revision).Warnf("unreadable item; the last good one stays: %v", err)
--- a/direct/forward.go
+++ b/direct/forward.go
@@ -17,8 +17,9 @@
 // maxUnsent bounds the upstreams tried for one request without reaching any.
 const maxUnsent = 4
 
-// entries is the number of entries that share what is shared.
-func (e *Entry) entries() int { return max(1, len(e.settings.Seeds)) + 1 }
+// entries is the number of entries that share what is shared. While few were
+// heard, as after the start, the seeds count too.
+func (e *Entry) entries() int { return max(e.hub.Count(time.Now()), len(e.settings.Seeds)+1) }
 
 // attempt is the state of forwarding one request.
 type attempt struct {
@@ -92,7 +93,11 @@
 	to := choice.Upstream
 	a.tried = append(a.tried, to.ID)
 	ticket := e.model.Start(time.Now(), q.service.Name, to, &q.work)
-	defer func() { ticket.Finish(time.Now()) }()
+	id := e.tellSent(to, q)
+	defer func() {
+		ticket.Finish(time.Now())
+		e.hub.TellEnded(id)
+	}()
 	x, failed := e.send(ctx, q, to, a.last)
 	if failed != nil {
 		return e.settleFailure(ctx, w, q, a, to, failed)
@@ -144,7 +149,7 @@
 		With("running", x.reply.Running).With("waiting", x.reply.Waiting).Infof("not run there")
 	if x.resp.StatusCode == http.StatusMisdirectedRequest {
 		// Another process has the address.
-		e.fleet.Ban(time.Now(), x.to.ID)
+		e.ban(time.Now(), x.to)
 	} else {
 		a.full = true
 	}
@@ -175,8 +180,7 @@
 		return true
 	}
 	if f.away {
-		line = line.With("ban", e.fleet.Ban(now, to.ID).Milliseconds())
-		e.pool.Drop(to.Address)
+		line = line.With("ban", e.ban(now, to).Milliseconds())
 	}
 	if !f.sent {
 		line.Infof("not reached")
--- /dev/null
+++ b/direct/holding.go
@@ -0,0 +1,95 @@
+package direct
+
+import (
+	"encoding/binary"
+	"slices"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cactustide/store"
+)
+
+// holding is what an entry holds of the items under a prefix, as of a revision.
+type holding struct {
+	mu       sync.Mutex
+	items    map[string]store.Item
+	revision uint64
+	// digest covers the keys and revisions; 0 means that it has to be worked out.
+	digest uint64
+}
+
+// put takes one change and reports whether it is newer than what is held.
+func (h *holding) put(item store.Item) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if held, ok := h.items[item.Key]; ok && held.Revision >= item.Revision {
+		return false
+	}
+	if item.Deleted {
+		delete(h.items, item.Key)
+	} else {
+		h.items[item.Key] = item
+	}
+	h.revision = max(h.revision, item.Revision)
+	h.digest = 0
+	return true
+}
+
+// replace takes a whole listing and returns the keys that vanished. Items newer
+// than the listing stay.
+func (h *holding) replace(items []store.Item, revision uint64) []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	listed := map[string]bool{}
+	for _, item := range items {
+		listed[item.Key] = true
+		if held, ok := h.items[item.Key]; !ok || held.Revision < item.Revision {
+			h.items[item.Key] = item
+		}
+	}
+	var removed []string
+	for key, item := range h.items {
+		if !listed[key] && item.Revision <= revision {
+			delete(h.items, key)
+			removed = append(removed, key)
+		}
+	}
+	slices.Sort(removed)
+	h.revision = max(h.revision, revision)
+	h.digest = 0
+	return removed
+}
+
+// advance records that nothing changed up to a revision.
+func (h *holding) advance(revision uint64) {
+	h.mu.Lock()
+	h.revision = max(h.revision, revision)
+	h.mu.Unlock()
+}
+
+// position returns the revision and the digest.
+func (h *holding) position() (revision, digest uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.digest == 0 {
+		h.digest = 1
+		var b [8]byte
+		for key, item := range h.items {
+			binary.BigEndian.PutUint64(b[:], item.Revision)
+			h.digest += xxhash.Sum64String(key + string(b[:])) // A sum does not depend on the order.
+		}
+	}
+	return h.revision, h.digest
+}
+
+// all returns the items and the revision.
+func (h *holding) all() ([]store.Item, uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	items := make([]store.Item, 0, len(h.items))
+	for _, item := range h.items {
+		items = append(items, item)
+	}
+	return items, h.revision
+}
--- a/direct/pass.go
+++ b/direct/pass.go
@@ -188,7 +188,7 @@
 		return true
 	}
 	if isAway(err) {
-		e.fleet.Ban(now, x.to.ID)
+		e.ban(now, x.to)
 	}
 	e.fleet.Record(now, x.to.ID, true)
 	if e.mayResume(q, a) {
--- /dev/null
+++ b/direct/peers.go
@@ -0,0 +1,180 @@
+package direct
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cactustide/fleet"
+	"cactustide/place"
+	"cactustide/store"
+	"cactustide/wire"
+)
+
+const (
+	// lagLimit is how long a peer may know more than this entry before it is asked:
+	// the store's own answer usually comes within that time.
+	lagLimit = 300 * time.Millisecond
+	// lagInterval is the time between two looks.
+	lagInterval = 100 * time.Millisecond
+)
+
+// lag says since when some peer knows more of a prefix.
+type lag struct {
+	mu      sync.Mutex
+	since   time.Time
+	process uint64
+}
+
+// positions tells peers how far this entry knows each prefix.
+func (e *Entry) positions() []*wire.Position {
+	list := make([]*wire.Position, 0, len(e.holdings))
+	for _, h := range e.holdings {
+		revision, digest := h.position()
+		list = append(list, &wire.Position{Revision: revision, Digest: digest})
+	}
+	return list
+}
+
+// held returns what this entry holds under a prefix.
+func (e *Entry) held(prefix int) *wire.CatchReply {
+	if prefix < 0 || prefix >= len(e.holdings) {
+		return &wire.CatchReply{}
+	}
+	items, revision := e.holdings[prefix].all()
+	reply := &wire.CatchReply{Revision: revision}
+	for _, item := range items {
+		reply.Items = append(reply.Items, &wire.Stored{Key: item.Key, Value: item.Value, Revision: item.Revision})
+	}
+	return reply
+}
+
+// hear takes a beat of a peer.
+func (e *Entry) hear(now time.Time, b *wire.Beat) {
+	for i, p := range b.GetPositions() {
+		if i < len(e.holdings) {
+			e.compare(now, i, p, b.GetProcess())
+		}
+	}
+	for _, s := range b.GetSent() {
+		e.hearSent(now, b.GetProcess(), s)
+	}
+	for _, id := range b.GetEnded() {
+		e.model.Ended(b.GetProcess() ^ id)
+	}
+	for _, d := range b.GetDoubts() {
+		if u, ok := e.fleet.FindHash(d.GetUpstream()); ok {
+			e.fleet.BanUntil(u.ID, now.Add(time.Duration(d.GetLeft())*time.Millisecond))
+		}
+	}
+}
+
+// compare notes whether a peer knows more of a prefix than this entry.
+func (e *Entry) compare(now time.Time, prefix int, p *wire.Position, process uint64) {
+	revision, digest := e.holdings[prefix].position()
+	l := &e.behind[prefix]
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case p.GetRevision() > revision && p.GetDigest() != digest:
+		if l.since.IsZero() {
+			l.since = now
+		}
+		l.process = process
+	case l.process == process:
+		l.since = time.Time{}
+	}
+}
+
+func (e *Entry) hearSent(now time.Time, process uint64, s *wire.Sent) {
+	u, ok := e.fleet.FindHash(s.GetUpstream())
+	if !ok || len(s.GetHashes()) != len(s.GetTokens()) {
+		return
+	}
+	w := &place.Work{Prompt: int(s.GetPrompt()), Output: int(s.GetOutput()), Pause: time.Duration(s.GetPause()) * time.Millisecond}
+	for i, h := range s.GetHashes() {
+		w.Parts = append(w.Parts, place.Part{Hash: h, Tokens: int(s.GetTokens()[i])})
+	}
+	if t := e.rules.Get(); t != nil {
+		if service := t.FindService(u.Service); service != nil && service.Engine != nil {
+			w.Engine, w.Memory, w.Stride = true, service.Engine.Memory, service.Engine.Stride
+		}
+	}
+	e.model.Told(now, process^s.GetId(), u, w)
+}
+
+// tellSent tells peers of a request sent and returns the id of the send.
+func (e *Entry) tellSent(to fleet.Upstream, q *request) uint64 {
+	s := &wire.Sent{
+		Id:       rand.Uint64() >> 24, // Short in the message, and hardly ever the same twice.
+		Upstream: xxhash.Sum64String(to.ID),
+		Prompt:   uint32(q.work.Prompt),
+		Output:   uint32(q.work.Output),
+		Pause:    uint32(q.work.Pause.Milliseconds()),
+	}
+	for _, p := range q.work.Parts {
+		s.Hashes = append(s.Hashes, p.Hash)
+		s.Tokens = append(s.Tokens, uint32(p.Tokens))
+	}
+	e.hub.TellSent(s)
+	return s.Id
+}
+
+// ban keeps new work away from an upstream, here and at the peers.
+func (e *Entry) ban(now time.Time, to fleet.Upstream) time.Duration {
+	left := e.fleet.Ban(now, to.ID)
+	e.pool.Drop(to.Address)
+	e.hub.TellDoubt(&wire.Doubt{Upstream: xxhash.Sum64String(to.ID), Left: uint32(left.Milliseconds())})
+	return left
+}
+
+// catchUp fetches from peers what the store did not tell in time.
+func (e *Entry) catchUp(ctx context.Context) error {
+	ticker := time.NewTicker(lagInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			for i := range e.behind {
+				if process, ok := e.behind[i].due(now); ok {
+					e.fetch(i, process)
+				}
+			}
+		}
+	}
+}
+
+// due reports whether the entry was behind for too long, and whom to ask.
+func (l *lag) due(now time.Time) (uint64, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.since.IsZero() || now.Sub(l.since) < lagLimit {
+		return 0, false
+	}
+	l.since = time.Time{}
+	return l.process, true
+}
+
+func (e *Entry) fetch(prefix int, process uint64) {
+	address := e.hub.Address(process)
+	line := e.log.With("prefix", e.items.Prefixes[prefix]).With("peer", address)
+	reply, err := e.hub.Catch(address, prefix)
+	if err != nil {
+		line.Warnf("not fetched from the peer: %v", err)
+		return
+	}
+	if revision, _ := e.holdings[prefix].position(); reply.GetRevision() <= revision {
+		return
+	}
+	var items []store.Item
+	for _, s := range reply.GetItems() {
+		items = append(items, store.Item{Key: s.GetKey(), Value: s.GetValue(), Revision: s.GetRevision()})
+	}
+	line.With("revision", reply.GetRevision()).Infof("caught up from the peer: %d items", len(items))
+	e.replace(time.Now(), prefix, items, reply.GetRevision())
+}
--- a/direct/types.go
+++ b/direct/types.go
@@ -36,9 +36,6 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-// Part is a part of a prompt.
-type Part = place.Part
-
 // Ask is what a caller's headers say.
 type Ask struct {
 	// ID of the attempt.
@@ -48,7 +45,8 @@
 	Left    time.Duration
 	Limited bool
 	Model   string
-	Parts   []Part
+	// Parts of the prompt that other requests may share.
+	Parts []place.Part
 	// Prompt and Output are numbers of tokens; Output is the largest allowed.
 	Prompt int
 	Output int
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // lapseHold is how long registrations that vanished around an outage of the
@@ -18,6 +20,7 @@
 
 type member struct {
 	Upstream
+	hash   uint64
 	health health
 	// lapsed is when the registration vanished during an outage; zero if it stands.
 	lapsed time.Time
@@ -58,7 +61,7 @@
 	defer r.mu.Unlock()
 	m, ok := r.members[u.ID]
 	if !ok {
-		r.members[u.ID] = &member{Upstream: u}
+		r.members[u.ID] = &member{Upstream: u, hash: xxhash.Sum64String(u.ID)}
 		return ChangeNew
 	}
 	if u.Born < m.Born || (u.Revision != 0 && u.Revision < m.Revision) {
@@ -173,6 +176,18 @@
 	return m.Upstream, true
 }
 
+// FindHash returns the upstream whose id has that hash.
+func (r *Registry) FindHash(hash uint64) (Upstream, bool) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	for _, m := range r.members {
+		if m.hash == hash {
+			return m.Upstream, true
+		}
+	}
+	return Upstream{}, false
+}
+
 // Count returns the number of upstreams known.
 func (r *Registry) Count() int {
 	r.mu.RLock()
@@ -263,3 +278,12 @@
 	m.health.banned = now.Add(m.health.ban)
 	return m.health.ban
 }
+
+// BanUntil keeps new work away from an upstream that another entry doubts.
+func (r *Registry) BanUntil(id string, until time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if m, ok := r.members[id]; ok && until.After(m.health.banned) {
+		m.health.banned = until
+	}
+}
--- a/place/engine.go
+++ b/place/engine.go
@@ -2,29 +2,31 @@
 
 import (
 	"container/list"
+	"encoding/binary"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
 
-// Part is a part of a prompt. Requests share parts.
+// Part is a part of a prompt that several requests may share.
 type Part struct {
-	ID     string
+	// Hash covers the part and all parts before it, because a cached part only
+	// helps if those before it are cached too.
+	Hash   uint64
 	Tokens int
 }
 
-// chain returns a hash for each part that covers all parts before it, because a
-// cached part only helps if those before it are cached too.
-func chain(parts []Part) []uint64 {
-	hashes := make([]uint64, len(parts))
+// Chain adds the part with an id to a prompt's parts.
+func Chain(parts []Part, id string, tokens int) []Part {
 	var d xxhash.Digest
 	d.Reset()
-	for i, p := range parts {
-		_, _ = d.WriteString(p.ID) // A hash never fails.
-		_, _ = d.Write([]byte{0})
-		hashes[i] = d.Sum64()
+	if len(parts) > 0 {
+		var before [8]byte
+		binary.BigEndian.PutUint64(before[:], parts[len(parts)-1].Hash)
+		_, _ = d.Write(before[:]) // A hash never fails.
 	}
-	return hashes
+	_, _ = d.WriteString(id)
+	return append(parts, Part{Hash: d.Sum64(), Tokens: tokens})
 }
 
 // run is a request that an upstream works on, as far as is known.
@@ -72,26 +74,26 @@
 }
 
 // cachedTokens returns how many tokens of the prompt's start are cached.
-func (u *upstream) cachedTokens(hashes []uint64, parts []Part) int {
+func (u *upstream) cachedTokens(parts []Part) int {
 	n := 0
-	for i, h := range hashes {
-		if _, ok := u.parts[h]; !ok {
+	for _, p := range parts {
+		if _, ok := u.parts[p.Hash]; !ok {
 			break
 		}
-		n += parts[i].Tokens
+		n += p.Tokens
 	}
 	return n
 }
 
 // touch records that the parts are cached and used now.
-func (u *upstream) touch(hashes []uint64, parts []Part) {
-	for i, h := range hashes {
-		if e, ok := u.parts[h]; ok {
+func (u *upstream) touch(parts []Part) {
+	for _, p := range parts {
+		if e, ok := u.parts[p.Hash]; ok {
 			u.order.MoveToFront(e)
 			continue
 		}
-		u.parts[h] = u.order.PushFront(cached{hash: h, tokens: parts[i].Tokens})
-		u.held += parts[i].Tokens
+		u.parts[p.Hash] = u.order.PushFront(cached{hash: p.Hash, tokens: p.Tokens})
+		u.held += p.Tokens
 	}
 	u.evict()
 }
--- a/place/model.go
+++ b/place/model.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"cactustide/fleet"
 )
 
@@ -61,7 +63,6 @@
 	Stride int
 	// Started is when the caller's wait began.
 	Started time.Time
-	hashes  []uint64
 }
 
 // service is what was learnt of a service's upstreams.
@@ -78,14 +79,20 @@
 type Settings struct {
 	// Read is the price of a second of reading prompts, in late answers.
 	Read float64
+	// Again is the price of reading a thousand tokens once more that some upstream
+	// read within Fresh, in late answers.
+	Again float64
+	Fresh time.Duration
 	// Byte is the price of a megabyte between data centres, in late answers.
 	Byte float64
 }
 
 // Defaults of Settings.
 const (
-	DefaultRead = 0.5
-	DefaultByte = 3.0
+	DefaultRead  = 0.5
+	DefaultAgain = 0.1
+	DefaultByte  = 3.0
+	DefaultFresh = 10 * time.Second
 )
 
 // Model holds what is believed of all upstreams.
@@ -95,6 +102,11 @@
 	upstreams map[string]*upstream
 	services  map[string]*service
 	sequence  uint64
+	// told holds the runs of other entries.
+	told map[uint64]*upstream
+	// used is when a part was last used anywhere.
+	used   map[uint64]time.Time
+	pruned time.Time
 }
 
 // New returns an empty model.
@@ -105,7 +117,47 @@
 	if s.Byte == 0 {
 		s.Byte = DefaultByte
 	}
-	return &Model{settings: s, upstreams: map[string]*upstream{}, services: map[string]*service{}}
+	if s.Again == 0 {
+		s.Again = DefaultAgain
+	}
+	if s.Fresh == 0 {
+		s.Fresh = DefaultFresh
+	}
+	return &Model{
+		settings: s, upstreams: map[string]*upstream{}, services: map[string]*service{},
+		told: map[uint64]*upstream{}, used: map[uint64]time.Time{},
+	}
+}
+
+// use records that the parts are used now, and forgets those not used for long.
+func (m *Model) use(now time.Time, parts []Part) {
+	for _, p := range parts {
+		m.used[p.Hash] = now
+	}
+	if now.Sub(m.pruned) < m.settings.Fresh {
+		return
+	}
+	m.pruned = now
+	for h, at := range m.used {
+		if now.Sub(at) > m.settings.Fresh {
+			delete(m.used, h)
+		}
+	}
+}
+
+// readAgain returns how many tokens of the prompt would be read once more
+// though some upstream read them lately.
+func (m *Model) readAgain(now time.Time, u *upstream, parts []Part) int {
+	n := 0
+	cached := true
+	for _, p := range parts {
+		_, ok := u.parts[p.Hash]
+		cached = cached && ok
+		if at, ok := m.used[p.Hash]; !cached && ok && now.Sub(at) < m.settings.Fresh {
+			n += p.Tokens
+		}
+	}
+	return n
 }
 
 func (m *Model) service(name string) *service {
@@ -169,9 +221,6 @@
 func (m *Model) Choose(now time.Time, serviceName string, candidates []fleet.Candidate, w *Work) (Choice, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if w.hashes == nil {
-		w.hashes = chain(w.Parts)
-	}
 	s := m.service(serviceName)
 	var best Choice
 	found := false
@@ -190,6 +239,8 @@
 	var f Forecast
 	if w.Engine {
 		f = s.forecastEngine(now, u, c, w, m.settings)
+		f.Cost += m.settings.Again * float64(m.readAgain(now, u, w.Parts)) / 1000
+		f.Cost += homeCost * homeDistance(w.Parts, c.ID)
 	} else {
 		f = s.forecastPlain(now, u, c)
 		f.Cost = lateness(now.Sub(w.Started)+f.First, w.Target)
@@ -222,7 +273,7 @@
 
 func (s *service) forecastEngine(now time.Time, u *upstream, c fleet.Candidate, w *Work, price Settings) Forecast {
 	total := w.Prompt
-	have := min(total, u.cachedTokens(w.hashes, w.Parts))
+	have := min(total, u.cachedTokens(w.Parts))
 	read := s.readTime(total-have, have)
 	backlog := u.backlog(now)
 	n := u.count(now)
@@ -296,3 +347,20 @@
 
 // forecastWidth is the uncertainty of a forecast as a share of the limit.
 const forecastWidth = 0.12
+
+// homeCost makes entries that know nothing of each other agree on where parts
+// go, among upstreams that are equal otherwise.
+const homeCost = 0.02
+
+// homeDistance is between 0 and 1, another for each pair of shared parts and
+// upstream.
+func homeDistance(parts []Part, id string) float64 {
+	if len(parts) == 0 {
+		return 0
+	}
+	h := xxhash.Sum64String(id) ^ parts[len(parts)-1].Hash
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd // Finaliser of MurmurHash3.
+	h ^= h >> 33
+	return float64(h>>11) / (1 << 53)
+}
--- a/place/ticket.go
+++ b/place/ticket.go
@@ -28,9 +28,6 @@
 func (m *Model) Start(now time.Time, serviceName string, to fleet.Upstream, w *Work) *Ticket {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if w.hashes == nil {
-		w.hashes = chain(w.Parts)
-	}
 	m.sequence++
 	s := m.service(serviceName)
 	u := m.upstream(to)
@@ -49,7 +46,7 @@
 		return r, s.work
 	}
 	u.memory = w.Memory
-	have := min(w.Prompt, u.cachedTokens(w.hashes, w.Parts))
+	have := min(w.Prompt, u.cachedTokens(w.Parts))
 	read := s.readTime(w.Prompt-have, have)
 	begin := now
 	if u.busy.After(now) {
@@ -66,30 +63,31 @@
 	r.tokens = w.Prompt - have + output
 	r.read = u.busy
 	r.end = u.busy.Add(time.Duration(toldMargin * float64(time.Duration(output)*s.step)))
-	u.touch(w.hashes, w.Parts)
+	u.touch(w.Parts)
+	m.use(now, w.Parts)
 	return r, read
 }
 
-// Sent is a send of another entry.
-type Sent struct {
-	Upstream string
-	Service  string
-	Work     Work
+// Told records a send of another entry under a key. Its end is estimated until
+// Ended is called.
+func (m *Model) Told(now time.Time, key uint64, to fleet.Upstream, w *Work) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	u := m.upstream(to)
+	r, _ := m.add(now, m.service(to.Service), u, w)
+	r.told = true
+	u.runs[key] = r
+	m.told[key] = u
 }
 
-// Told records a send of another entry. Its end is estimated.
-func (m *Model) Told(now time.Time, to fleet.Upstream, serviceName string, w *Work) {
+// Ended records that a send of another entry ended.
+func (m *Model) Ended(key uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.sequence++
-	if w.hashes == nil {
-		w.hashes = chain(w.Parts)
+	if u, ok := m.told[key]; ok {
+		delete(u.runs, key)
+		delete(m.told, key)
 	}
-	s := m.service(serviceName)
-	u := m.upstream(to)
-	r, _ := m.add(now, s, u, w)
-	r.told = true
-	u.runs[m.sequence] = r
 }
 
 // Heard records the load that an upstream told of itself.
--- /dev/null
+++ b/relay/relay.go
@@ -0,0 +1,436 @@
+// Package relay carries what entries tell each other: datagrams with what they
+// sent and how far they know the store, and calls that fetch what one is behind.
+package relay
+
+import (
+	"cmp"
+	"net"
+	"net/rpc"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/zeebo/errs"
+	"google.golang.org/protobuf/proto"
+
+	"cactustide/meter"
+	"cactustide/wire"
+)
+
+// Kind tells the errors of this package apart.
+type Kind string
+
+// Kinds of errors.
+const (
+	KindListen Kind = "listen"
+	KindCall   Kind = "call"
+	KindCodec  Kind = "codec"
+)
+
+// Error is the error of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error formats the operation, the kind and the cause.
+func (e *Error) Error() string {
+	return "relay: " + e.Op + ": " + string(e.Kind) + ": " + e.Err.Error()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+const (
+	// beatInterval is the longest time between two beats, and the time for which a
+	// beat gathers what was sent.
+	beatInterval   = 250 * time.Millisecond
+	gatherInterval = 25 * time.Millisecond
+	// peersEvery is how many quiet beats pass between two lists of peers.
+	peersEvery = 4
+	// quietLimit is the age at which a peer no longer counts as there.
+	quietLimit = 3 * time.Second
+	// forgetLimit is the age at which a peer that is no seed is forgotten.
+	forgetLimit = time.Minute
+	// fanout bounds the peers that an entry sends beats to, so that the messages of
+	// an entry do not grow with the number of entries.
+	fanout = 24
+	// datagramBytes fits a datagram into one packet of an Ethernet network.
+	datagramBytes = 1200
+	readBytes     = 64 << 10
+	callLimit     = time.Second
+)
+
+// Hub tells the other entries and hears them. The function fields are set
+// before Start.
+type Hub struct {
+	// OnBeat takes a newer beat of a peer.
+	OnBeat func(now time.Time, b *wire.Beat)
+	// Positions tells how far this entry knows each prefix.
+	Positions func() []*wire.Position
+	// Items returns what this entry holds under a prefix.
+	Items func(prefix int) *wire.CatchReply
+
+	name    string
+	address string
+	process uint64
+	log     *meter.Log
+	udp     *net.UDPConn
+	tcp     net.Listener
+	seeds   []string
+	mu      sync.Mutex
+	peers   map[string]*peer
+	// out gathers what the next beat tells.
+	out   wire.Beat
+	size  int
+	kick  chan struct{}
+	done  chan struct{}
+	group sync.WaitGroup
+}
+
+type peer struct {
+	address  string
+	name     string
+	process  uint64
+	sequence uint64
+	heard    time.Time
+	added    time.Time
+	seed     bool
+}
+
+// New returns a hub. Other entries reach it at address, TCP and UDP.
+func New(name, address string, seeds []string, process uint64, log *meter.Log) *Hub {
+	return &Hub{
+		name: name, address: address, process: process, seeds: seeds, log: log,
+		peers: map[string]*peer{}, kick: make(chan struct{}, 1), done: make(chan struct{}),
+	}
+}
+
+// Start listens and starts the loops.
+func (h *Hub) Start(now time.Time) error {
+	at, err := net.ResolveUDPAddr("udp", h.address)
+	if err != nil {
+		return &Error{Op: "listen", Kind: KindListen, Err: err}
+	}
+	if h.udp, err = net.ListenUDP("udp", at); err != nil {
+		return &Error{Op: "listen", Kind: KindListen, Err: err}
+	}
+	if h.tcp, err = net.Listen("tcp", h.address); err != nil {
+		_ = h.udp.Close() // The first error tells why the start failed.
+		return &Error{Op: "listen", Kind: KindListen, Err: err}
+	}
+	h.AddSeeds(now, h.seeds)
+	server := rpc.NewServer()
+	if err := server.RegisterName(rpcName, &Service{hub: h}); err != nil {
+		return &Error{Op: "register", Kind: KindListen, Err: err}
+	}
+	h.group.Go(func() { h.accept(server) })
+	h.group.Go(h.read)
+	h.group.Go(h.run)
+	return nil
+}
+
+// AddSeeds adds addresses of entries, which may be stale.
+func (h *Hub) AddSeeds(now time.Time, seeds []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, s := range seeds {
+		h.add(now, s, true)
+	}
+}
+
+func (h *Hub) add(now time.Time, address string, seed bool) *peer {
+	if address == h.address || address == "" {
+		return nil
+	}
+	p, ok := h.peers[address]
+	if !ok {
+		p = &peer{address: address, added: now}
+		h.peers[address] = p
+	}
+	p.seed = p.seed || seed
+	return p
+}
+
+// Count returns the number of entries that were heard lately, with this one.
+func (h *Hub) Count(now time.Time) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := 1
+	for _, p := range h.peers {
+		if now.Sub(p.heard) < quietLimit {
+			n++
+		}
+	}
+	return n
+}
+
+// TellSent tells the others of a request sent.
+func (h *Hub) TellSent(s *wire.Sent) {
+	h.tell(40+12*len(s.GetHashes()), func(b *wire.Beat) { b.Sent = append(b.Sent, s) })
+}
+
+// TellEnded tells the others that a request ended.
+func (h *Hub) TellEnded(id uint64) {
+	h.tell(6, func(b *wire.Beat) { b.Ended = append(b.Ended, id) })
+}
+
+// TellDoubt tells the others that an upstream showed no sign of life.
+func (h *Hub) TellDoubt(d *wire.Doubt) {
+	h.tell(16, func(b *wire.Beat) { b.Doubts = append(b.Doubts, d) })
+}
+
+// tell adds to the next beat. What finds no room is left out: it would be old
+// before it could be sent.
+func (h *Hub) tell(size int, add func(*wire.Beat)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.size+size > 4*datagramBytes {
+		return
+	}
+	h.size += size
+	add(&h.out)
+	select {
+	case h.kick <- struct{}{}:
+	default:
+	}
+}
+
+// run sends beats: soon after there is something to tell, else at an interval.
+func (h *Hub) run() {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	sequence := uint64(0)
+	for {
+		select {
+		case <-h.done:
+			return
+		case <-timer.C:
+		case <-h.kick:
+			select {
+			case <-h.done:
+				return
+			case <-time.After(gatherInterval):
+			}
+		}
+		sequence++
+		h.send(time.Now(), sequence)
+		timer.Reset(beatInterval)
+	}
+}
+
+func (h *Hub) send(now time.Time, sequence uint64) {
+	positions := h.Positions()
+	h.mu.Lock()
+	b := &wire.Beat{
+		Name: h.name, Process: h.process, Sequence: sequence, Positions: positions,
+		Sent: h.out.Sent, Ended: h.out.Ended, Doubts: h.out.Doubts,
+	}
+	h.out, h.size = wire.Beat{}, 0
+	if sequence%peersEvery == 1 {
+		b.Address = h.address
+		b.Peers = h.known(now)
+	}
+	targets := h.targets(now)
+	h.mu.Unlock()
+	data, err := proto.Marshal(b)
+	if err != nil {
+		h.log.Errorf("beat not encoded: %v", err)
+		return
+	}
+	for _, t := range targets {
+		// A datagram may be lost anywhere; the next one makes up for it.
+		_, _ = h.udp.WriteToUDP(data, t)
+	}
+}
+
+// known lists some of the peers heard lately.
+func (h *Hub) known(now time.Time) []string {
+	var list []string
+	for _, p := range h.peers {
+		if now.Sub(p.heard) < quietLimit {
+			list = append(list, p.address)
+		}
+	}
+	slices.Sort(list)
+	return list[:min(len(list), 2*fanout)]
+}
+
+// targets returns the peers that get beats. Peers that were never heard get
+// some as well, as they may just start.
+func (h *Hub) targets(now time.Time) []*net.UDPAddr {
+	var list []*peer
+	for _, p := range h.peers {
+		last := p.heard
+		if last.IsZero() {
+			last = p.added
+		}
+		if !p.seed && now.Sub(last) > forgetLimit {
+			delete(h.peers, p.address)
+			continue
+		}
+		list = append(list, p)
+	}
+	if len(list) > fanout {
+		own := xxhash.Sum64String(h.address)
+		slices.SortFunc(list, func(a, b *peer) int {
+			return cmp.Compare(xxhash.Sum64String(a.address)^own, xxhash.Sum64String(b.address)^own)
+		})
+		list = list[:fanout]
+	}
+	addresses := make([]*net.UDPAddr, 0, len(list))
+	for _, p := range list {
+		if at, err := net.ResolveUDPAddr("udp", p.address); err == nil {
+			addresses = append(addresses, at)
+		}
+	}
+	return addresses
+}
+
+func (h *Hub) read() {
+	buffer := make([]byte, readBytes)
+	for {
+		n, from, err := h.udp.ReadFromUDP(buffer)
+		select {
+		case <-h.done:
+			return
+		default:
+		}
+		if err != nil {
+			time.Sleep(gatherInterval) // An answer "no such port" to an earlier beat; not a reason to spin.
+			continue
+		}
+		b := &wire.Beat{}
+		if err := proto.Unmarshal(buffer[:n], b); err != nil {
+			h.log.With("from", from.String()).Warnf("unreadable beat: %v", err)
+			continue
+		}
+		if h.accepts(time.Now(), from.String(), b) {
+			h.OnBeat(time.Now(), b)
+		}
+	}
+}
+
+// accepts records the sender and reports whether the beat is newer than those
+// seen of its run.
+func (h *Hub) accepts(now time.Time, from string, b *wire.Beat) bool {
+	if b.GetProcess() == h.process {
+		return false
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	p := h.add(now, from, false)
+	if p == nil {
+		return false
+	}
+	if p.process == b.GetProcess() && b.GetSequence() <= p.sequence {
+		return false
+	}
+	if p.process != b.GetProcess() || now.Sub(p.heard) > quietLimit {
+		h.log.With("peer", b.GetName()).With("address", from).Infof("peer heard")
+	}
+	p.name, p.process, p.sequence, p.heard = b.GetName(), b.GetProcess(), b.GetSequence(), now
+	for _, other := range b.GetPeers() {
+		h.add(now, other, false)
+	}
+	return true
+}
+
+// Address returns the peer address of a run, or an empty text.
+func (h *Hub) Address(process uint64) string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, p := range h.peers {
+		if p.process == process {
+			return p.address
+		}
+	}
+	return ""
+}
+
+// Close stops the loops and waits for them.
+func (h *Hub) Close() {
+	close(h.done)
+	_ = h.udp.Close() // Wakes the reader.
+	_ = h.tcp.Close()
+	h.group.Wait()
+}
+
+const rpcName = "Relay"
+
+// Envelope is the net/rpc argument and reply: a message of the schema.
+type Envelope struct {
+	Data []byte
+}
+
+// Service is the net/rpc receiver. Its methods are called by net/rpc.
+type Service struct{ hub *Hub }
+
+// Catch returns what this entry holds under a prefix.
+func (s *Service) Catch(in *Envelope, out *Envelope) error {
+	var req wire.CatchRequest
+	if err := proto.Unmarshal(in.Data, &req); err != nil {
+		return err
+	}
+	data, err := proto.Marshal(s.hub.Items(int(req.GetPrefix())))
+	out.Data = data
+	return err
+}
+
+func (h *Hub) accept(server *rpc.Server) {
+	var open sync.Map
+	defer open.Range(func(c, _ any) bool { _ = c.(net.Conn).Close(); return true }) // Ends its server.
+	for {
+		c, err := h.tcp.Accept()
+		if err != nil {
+			select {
+			case <-h.done:
+				return
+			case <-time.After(gatherInterval):
+				continue
+			}
+		}
+		open.Store(c, true)
+		h.group.Go(func() {
+			defer open.Delete(c)
+			server.ServeConn(c)
+		})
+	}
+}
+
+var errTimeout = errs.New("no answer within the limit")
+
+// Catch fetches what a peer holds under a prefix.
+func (h *Hub) Catch(address string, prefix int) (*wire.CatchReply, error) {
+	conn, err := net.DialTimeout("tcp", address, callLimit)
+	if err != nil {
+		return nil, &Error{Op: "catch up", Kind: KindCall, Err: err}
+	}
+	defer func() { _ = conn.Close() }() // The answer was read, or failed already.
+	if err := conn.SetDeadline(time.Now().Add(callLimit)); err != nil {
+		return nil, &Error{Op: "catch up", Kind: KindCall, Err: err}
+	}
+	data, err := proto.Marshal(&wire.CatchRequest{Prefix: uint32(prefix)})
+	if err != nil {
+		return nil, &Error{Op: "catch up", Kind: KindCodec, Err: err}
+	}
+	client := rpc.NewClient(conn)
+	var out Envelope
+	call := client.Go(rpcName+".Catch", &Envelope{Data: data}, &out, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		err = call.Error
+	case <-time.After(callLimit):
+		err = errTimeout
+	}
+	if err != nil {
+		return nil, &Error{Op: "catch up", Kind: KindCall, Err: err}
+	}
+	reply := &wire.CatchReply{}
+	if err := proto.Unmarshal(out.Data, reply); err != nil {
+		return nil, &Error{Op: "catch up", Kind: KindCodec, Err: err}
+	}
+	return reply, nil
+}
--- a/setup/direct.go
+++ b/setup/direct.go
@@ -35,6 +35,9 @@
 	RetryRatio  float64
 	RetryWindow time.Duration
 	RetrySlack  float64
+	// Fresh is how long after its last use a part of a prompt should not be read
+	// once more.
+	Fresh time.Duration
 	// Lease is the shortest lifetime of a lease in the store.
 	Lease time.Duration
 }
