Log what the model expected of each stream and what it learnt

Ruled out: reading by priority (urgent prompts behind a backlog are late as well). Conclusion: the backlog is underestimated where some entries are cut off from others.

--- a/direct/entry.go
+++ b/direct/entry.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,6 +44,8 @@
 	bodyShare = 0.25
 	// sweepInterval is the time between two sweeps of idle connections.
 	sweepInterval = 250 * time.Millisecond
+	// statusInterval is the time between two lines on what was learnt.
+	statusInterval = 5 * time.Second
 )
 
 // Entry is the daemon's state.
@@ -191,11 +194,16 @@
 func (e *Entry) sweep(ctx context.Context) error {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
+	var told time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case now := <-ticker.C:
+			if now.Sub(told) >= statusInterval {
+				told = now
+				e.logStatus(now)
+			}
 			e.pool.Sweep(now)
 			for _, id := range e.fleet.Expire(now) {
 				e.model.Forget(id)
@@ -208,6 +216,22 @@
 	}
 }
 
+// logStatus tells what the entry believes of the services.
+func (e *Entry) logStatus(now time.Time) {
+	t := e.rules.Get()
+	if t == nil {
+		return
+	}
+	for _, s := range t.Document.Services {
+		l := e.model.Learnt(s.Name)
+		e.log.With("service", s.Name).With("version", t.Document.Version).
+			With("scale", strconv.FormatFloat(l.Scale, 'f', 2, 64)).
+			With("base", l.Base.Milliseconds()).With("step", l.Step.Microseconds()).With("work", l.Work.Milliseconds()).
+			With("budget", int(e.budget.Left(now, s.Name, e.entries()))).With("entries", e.entries()).
+			With("connections", e.pool.Opened()).Infof("status")
+	}
+}
+
 // Drain stops being ready, then waits for the requests in progress, at most
 // until limit.
 func (e *Entry) Drain(limit time.Duration) {
--- a/direct/forward.go
+++ b/direct/forward.go
@@ -81,6 +81,7 @@
 		return place.Choice{}, false
 	}
 	f := choice.Forecast
+	q.expected = f.First
 	q.log.With("request", q.ask.ID).With("upstream", choice.Upstream.ID).With("version", q.version).
 		With("revision", choice.Upstream.Revision).With("candidates", len(candidates)).
 		With("first", f.First.Milliseconds()).With("cached", f.Cached).With("backlog", f.Backlog.Milliseconds()).
--- a/direct/handle.go
+++ b/direct/handle.go
@@ -36,6 +36,10 @@
 	log      *meter.Log
 	// sends counts the sends that reached an upstream.
 	sends int
+	// first is when the caller got the first event of a stream, and expected the
+	// time that the last choice expected for it.
+	first    time.Time
+	expected time.Duration
 }
 
 // Reasons of answers of our own.
@@ -230,6 +234,9 @@
 		name = q.route.Name
 		line = line.With("route", name)
 	}
+	if !q.first.IsZero() {
+		line = line.With("first", q.first.Sub(q.arrived).Milliseconds()).With("expected", q.expected.Milliseconds())
+	}
 	if err != nil {
 		line = line.With("error", err.Error())
 	}
--- a/direct/pass.go
+++ b/direct/pass.go
@@ -131,6 +131,7 @@
 		if !a.passed {
 			copyHead(w, x, -1)
 			a.passed = true
+			q.first = now
 			e.scope.Timer("first").Record(now.Sub(q.arrived))
 		}
 		if id != "" {
