Lengthen an engine's backlog by what shows that it was underestimated

Cause: entries that do not hear the others see a third of the sends; a first event that is overdue, or came late, tells that prompts wait there. Pauses were guarded with too wide a margin, which kept long prompts off a third of the engines. Ruled out: correction by the reported number of requests, which says nothing of the length of their prompts.

--- a/place/engine.go
+++ b/place/engine.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"encoding/binary"
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -40,6 +41,8 @@
 	end time.Time
 	// told runs were sent by another entry.
 	told bool
+	// heard is when the last event came; zero before the first.
+	heard time.Time
 }
 
 // cached is a part that an upstream holds.
@@ -61,6 +64,9 @@
 	held     int
 	// memory of running requests and cached parts, tokens.
 	memory int
+	// excess is by how much first events came later than expected lately.
+	excess  time.Duration
+	excused time.Time
 	// reported is the load that the upstream last told, and when.
 	reported int
 	heard    time.Time
@@ -129,8 +135,38 @@
 	}
 }
 
-// backlog is the time until the prompts sent so far are read.
-func (u *upstream) backlog(now time.Time) time.Duration { return max(0, u.busy.Sub(now)) }
+// backlog is the time until the prompts sent so far are read: as predicted, and
+// what showed that the prediction was too short.
+func (u *upstream) backlog(now time.Time) time.Duration {
+	return max(0, u.busy.Sub(now)) + max(u.excessAt(now), u.overdue(now))
+}
+
+// excessLife is the time after which two thirds of the learnt excess are
+// forgotten.
+const excessLife = time.Second
+
+func (u *upstream) excessAt(now time.Time) time.Duration {
+	return time.Duration(float64(u.excess) * math.Exp(-float64(now.Sub(u.excused))/float64(excessLife)))
+}
+
+// learnExcess notes by how much a first event came later than expected.
+func (u *upstream) learnExcess(now time.Time, late time.Duration) {
+	old := u.excessAt(now)
+	u.excess = max(0, old+(late-old)/2)
+	u.excused = now
+}
+
+// overdue is how long the first event of a request of this entry has been
+// expected in vain.
+func (u *upstream) overdue(now time.Time) time.Duration {
+	longest := time.Duration(0)
+	for _, r := range u.runs {
+		if !r.told && r.pause > 0 && r.heard.IsZero() {
+			longest = max(longest, now.Sub(r.read))
+		}
+	}
+	return longest
+}
 
 // count is the number of requests there: what the entries know, or what the
 // upstream told lately if that is more.
--- a/place/model.go
+++ b/place/model.go
@@ -79,6 +79,9 @@
 type Settings struct {
 	// Read is the price of a second of reading prompts, in late answers.
 	Read float64
+	// Wait is the price of a second to the first event, in late answers: who waits
+	// there makes those that follow wait.
+	Wait float64
 	// Again is the price of reading a thousand tokens once more that some upstream
 	// read within Fresh, in late answers.
 	Again float64
@@ -90,6 +93,7 @@
 // Defaults of Settings.
 const (
 	DefaultRead  = 0.5
+	DefaultWait  = 0.2
 	DefaultAgain = 0.1
 	DefaultByte  = 3.0
 	DefaultFresh = 10 * time.Second
@@ -117,6 +121,9 @@
 	if s.Byte == 0 {
 		s.Byte = DefaultByte
 	}
+	if s.Wait == 0 {
+		s.Wait = DefaultWait
+	}
 	if s.Again == 0 {
 		s.Again = DefaultAgain
 	}
@@ -243,7 +250,7 @@
 		f.Cost += homeCost * homeDistance(w.Parts, c.ID)
 	} else {
 		f = s.forecastPlain(now, u, c)
-		f.Cost = lateness(now.Sub(w.Started)+f.First, w.Target)
+		f.Cost = lateness(now.Sub(w.Started)+f.First, w.Target, firstWidth*w.Target.Seconds())
 	}
 	if c.Centre != w.Centre {
 		f.Cost += m.settings.Byte * float64(w.Bytes) / (1 << 20)
@@ -280,7 +287,8 @@
 	full := max(0, n+1-c.Slots)
 	f := Forecast{Cached: have, Backlog: backlog, Running: n}
 	f.First = backlog + read + s.base + s.step + time.Duration(full)*s.step*usualOutput/time.Duration(max(1, c.Slots))
-	f.Cost = lateness(now.Sub(w.Started)+f.First, w.Target)
+	f.Cost = lateness(now.Sub(w.Started)+f.First, w.Target, firstWidth*w.Target.Seconds()+backlogWidth*backlog.Seconds())
+	f.Cost += price.Wait * f.First.Seconds()
 	f.Cost += price.Read * read.Seconds()
 	f.Cost += fullCost * float64(full)
 	f.Cost += s.harm(now, u, w, have, backlog, read)
@@ -311,7 +319,7 @@
 	sum := 0.0
 	for _, r := range u.runs {
 		if r.pause > 0 {
-			sum += lateness(is, r.pause) - lateness(was, r.pause)
+			sum += lateness(is, r.pause, pauseWidth*r.pause.Seconds()) - lateness(was, r.pause, pauseWidth*r.pause.Seconds())
 		}
 	}
 	return sum
@@ -325,7 +333,7 @@
 	}
 	stride := time.Duration(max(1, w.Stride))
 	worst := stride*s.step + stride*s.readTime(chunkTokens, usualBefore)
-	return lateness(worst, w.Pause) * min(1, u.pressureAt(now))
+	return lateness(worst, w.Pause, pauseWidth*w.Pause.Seconds()) * min(1, u.pressureAt(now))
 }
 
 // usualBefore is the number of tokens that stand before a usual chunk.
@@ -337,16 +345,22 @@
 }
 
 // lateness is the probability that something expected to take d takes longer
-// than limit: a logistic curve whose width is the uncertainty of the forecast.
-func lateness(d, limit time.Duration) float64 {
+// than limit: a logistic curve whose width is the uncertainty, in seconds.
+func lateness(d, limit time.Duration, width float64) float64 {
 	if limit <= 0 {
 		return 0
 	}
-	return 1 / (1 + math.Exp(-float64(d-limit)/(forecastWidth*float64(limit))))
+	return 1 / (1 + math.Exp(-(d-limit).Seconds()/width))
 }
 
-// forecastWidth is the uncertainty of a forecast as a share of the limit.
-const forecastWidth = 0.12
+// Uncertainties of forecasts.
+const (
+	// firstWidth is a share of the target, backlogWidth one of the backlog.
+	firstWidth   = 0.12
+	backlogWidth = 0.3
+	// pauseWidth is a share of the longest pause.
+	pauseWidth = 0.07
+)
 
 // homeCost makes entries that know nothing of each other agree on where parts
 // go, among upstreams that are equal otherwise.
--- a/place/ticket.go
+++ b/place/ticket.go
@@ -18,10 +18,12 @@
 	// clean sends had nothing to wait for, so their time teaches.
 	clean     bool
 	predicted time.Duration
-	engine    bool
-	first     time.Time
-	last      time.Time
-	stride    int
+	// expected is the time to the first event as far as the sends known then tell.
+	expected time.Duration
+	engine   bool
+	first    time.Time
+	last     time.Time
+	stride   int
 }
 
 // Start records that a request is sent to an upstream.
@@ -34,6 +36,7 @@
 	t := &Ticket{model: m, service: s, at: u, id: m.sequence, started: now, engine: w.Engine, stride: max(1, w.Stride)}
 	t.clean = u.backlog(now) <= cleanBacklog && u.count(now) < to.Slots
 	t.run, t.predicted = m.add(now, s, u, w)
+	t.expected = t.run.read.Sub(now) + s.base + s.step
 	u.runs[t.id] = t.run
 	u.after++
 	return t
@@ -103,6 +106,9 @@
 func (t *Ticket) Event(now time.Time) {
 	t.model.mu.Lock()
 	defer t.model.mu.Unlock()
+	if t.run != nil {
+		t.run.heard = now
+	}
 	if t.first.IsZero() {
 		t.first = now
 		t.learnFirst(now)
@@ -121,6 +127,7 @@
 		s.work += time.Duration(float64(took-s.work) / scaleWindow)
 		return
 	}
+	t.at.learnExcess(now, took-t.expected)
 	if !t.clean {
 		return
 	}
