Let a stopping entry keep listening, and one that joins recall from a peer

Three processes outlived the grace time, waiting for a watch of the store. Ruled out: a shorter settling time, as the balancer needs two misses.

--- a/direct/entry.go
+++ b/direct/entry.go
@@ -36,6 +36,8 @@
 	// settleTime is how long a stopping entry still takes new connections, so that
 	// the balancer, which asks each second and wants two misses, sees it leave.
 	settleTime = 2500 * time.Millisecond
+	// drainInterval is the time between two looks at the requests in progress.
+	drainInterval = 20 * time.Millisecond
 	// stopMargin is left between the end of a planned stop and the kill.
 	stopMargin = 400 * time.Millisecond
 	// memoryShare is the part of the memory that the collector aims for.
@@ -66,15 +68,20 @@
 	hub      *relay.Hub
 	holdings []*holding
 	behind   []lag
+	recalled recalled
 	bodies   bodies
 	idle     idleSet
 
 	stopping atomic.Bool
-	callers  *http.Server
-	ready    *http.Server
-	serving  sync.WaitGroup
-	cancel   context.CancelFunc
-	group    *errgroup.Group
+	// refusing entries answer new requests with 503.
+	refusing atomic.Bool
+	// active counts the requests in progress.
+	active  atomic.Int64
+	callers *http.Server
+	ready   *http.Server
+	serving sync.WaitGroup
+	cancel  context.CancelFunc
+	group   *errgroup.Group
 }
 
 // New returns an entry. Start runs it.
@@ -104,6 +111,8 @@
 	e.hub.OnBeat = e.hear
 	e.hub.Positions = e.positions
 	e.hub.Items = e.held
+	e.hub.Recall = e.recall
+	e.hub.OnPeer = e.meet
 	return e
 }
 
@@ -232,17 +241,27 @@
 	}
 }
 
-// Drain stops being ready, then waits for the requests in progress, at most
-// until limit.
+// Drain stops being ready, serves new requests until the balancer has seen it,
+// then refuses them and waits for those in progress, at most until limit. The
+// listener stays open meanwhile: a refusal sends a caller elsewhere sooner than
+// a closed port.
 func (e *Entry) Drain(limit time.Duration) {
-	end := time.Now().Add(limit - stopMargin)
+	now := time.Now()
+	end := now.Add(limit - stopMargin)
 	e.stopping.Store(true)
-	e.idle.sweep(time.Now(), 0)
+	e.idle.sweep(now, 0)
 	time.Sleep(min(settleTime, time.Until(end)))
-	ctx, cancel := context.WithDeadline(context.Background(), end)
+	e.refusing.Store(true)
+	for e.active.Load() > 0 && time.Now().Before(end) {
+		time.Sleep(drainInterval)
+	}
+	if n := e.active.Load(); n > 0 {
+		e.log.With("requests", n).Warnf("requests still in progress at the end of the stop")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), drainInterval)
 	defer cancel()
 	if err := e.callers.Shutdown(ctx); err != nil {
-		e.log.Warnf("requests still in progress at the end of the stop: %v", err)
+		e.log.Infof("connections cut at the end of the stop: %v", err)
 	}
 }
 
--- a/direct/follow.go
+++ b/direct/follow.go
@@ -23,7 +23,10 @@
 func (e *Entry) follow(ctx context.Context, prefix int) error {
 	f := follower{entry: e, prefix: prefix, log: e.log.With("prefix", e.items.Prefixes[prefix])}
 	for ctx.Err() == nil {
-		err := f.step()
+		err := e.leave(ctx, f.step)
+		if ctx.Err() != nil {
+			return nil
+		}
 		f.note(time.Now(), err)
 		if err == nil {
 			continue
@@ -36,6 +39,18 @@
 	return nil
 }
 
+// leave makes a call that cannot be ended. A stopping entry leaves it behind.
+func (e *Entry) leave(ctx context.Context, call func() error) error {
+	done := make(chan error, 1)
+	go func() { done <- call() }()
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // follower is the state of following one prefix.
 type follower struct {
 	entry    *Entry
--- a/direct/handle.go
+++ b/direct/handle.go
@@ -40,6 +40,9 @@
 	// time that the last choice expected for it.
 	first    time.Time
 	expected time.Duration
+	// last event's time and the longest time between two events.
+	last  time.Time
+	pause time.Duration
 }
 
 // Reasons of answers of our own.
@@ -55,6 +58,7 @@
 	reasonFull     = "upstreams are full"
 	reasonBroken   = "the upstream broke off"
 	reasonTimeout  = "time is up"
+	reasonStopping = "this entry is stopping"
 	reasonCrash    = "the request crashed upstreams"
 )
 
@@ -72,6 +76,12 @@
 		return
 	}
 	defer e.bodies.give(int64(len(q.body)))
+	e.active.Add(1)
+	defer e.active.Add(-1)
+	if e.refusing.Load() {
+		e.answer(w, q, http.StatusServiceUnavailable, reasonStopping, 0)
+		return
+	}
 	e.forward(w, r, q)
 }
 
@@ -235,7 +245,8 @@
 		line = line.With("route", name)
 	}
 	if !q.first.IsZero() {
-		line = line.With("first", q.first.Sub(q.arrived).Milliseconds()).With("expected", q.expected.Milliseconds())
+		line = line.With("first", q.first.Sub(q.arrived).Milliseconds()).With("expected", q.expected.Milliseconds()).
+			With("pause", q.pause.Milliseconds())
 	}
 	if err != nil {
 		line = line.With("error", err.Error())
--- a/direct/pass.go
+++ b/direct/pass.go
@@ -134,6 +134,10 @@
 			q.first = now
 			e.scope.Timer("first").Record(now.Sub(q.arrived))
 		}
+		if !q.last.IsZero() {
+			q.pause = max(q.pause, now.Sub(q.last))
+		}
+		q.last = now
 		if id != "" {
 			a.last = id
 		}
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -178,3 +178,66 @@
 	line.With("revision", reply.GetRevision()).Infof("caught up from the peer: %d items", len(items))
 	e.replace(time.Now(), prefix, items, reply.GetRevision())
 }
+
+// recallEvery is the shortest time between two recalls from peers.
+const recallEvery = 2 * time.Second
+
+// recalled is when a peer was last asked what it believes of the engines.
+type recalled struct {
+	mu sync.Mutex
+	at time.Time
+}
+
+func (r *recalled) due(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.at.IsZero() && now.Sub(r.at) < recallEvery {
+		return false
+	}
+	r.at = now
+	return true
+}
+
+// meet asks a peer that was not heard for a while what it believes of the
+// engines: this entry has just started, or one of the two was cut off.
+func (e *Entry) meet(now time.Time, address string) {
+	if !e.recalled.due(now) {
+		return
+	}
+	e.group.Go(func() error {
+		reply, err := e.hub.FetchRecall(address)
+		if err != nil {
+			e.log.With("peer", address).Warnf("nothing recalled from the peer: %v", err)
+			return nil
+		}
+		n := 0
+		for _, c := range reply.GetCaches() {
+			u, ok := e.fleet.FindHash(c.GetUpstream())
+			if !ok || len(c.GetHashes()) != len(c.GetTokens()) {
+				continue
+			}
+			parts := make([]place.Part, len(c.GetHashes()))
+			for i, h := range c.GetHashes() {
+				parts[i] = place.Part{Hash: h, Tokens: int(c.GetTokens()[i])}
+			}
+			n += len(parts)
+			e.model.Recall(time.Now(), u, parts, time.Duration(c.GetBacklog())*time.Millisecond)
+		}
+		e.log.With("peer", address).Infof("recalled %d cached parts from the peer", n)
+		return nil
+	})
+}
+
+// recall returns what this entry believes of the engines.
+func (e *Entry) recall(now time.Time) *wire.RecallReply {
+	reply := &wire.RecallReply{}
+	for id, m := range e.model.Memories(now) {
+		c := &wire.Cache{Upstream: xxhash.Sum64String(id), Backlog: uint32(m.Backlog.Milliseconds())}
+		for _, p := range m.Parts {
+			c.Hashes = append(c.Hashes, p.Hash)
+			c.Tokens = append(c.Tokens, uint32(p.Tokens))
+		}
+		reply.Caches = append(reply.Caches, c)
+	}
+	return reply
+}
--- a/place/engine.go
+++ b/place/engine.go
@@ -46,10 +46,7 @@
 }
 
 // cached is a part that an upstream holds.
-type cached struct {
-	hash   uint64
-	tokens int
-}
+type cached Part
 
 // upstream is what is believed of one upstream.
 type upstream struct {
@@ -98,7 +95,7 @@
 			u.order.MoveToFront(e)
 			continue
 		}
-		u.parts[p.Hash] = u.order.PushFront(cached{hash: p.Hash, tokens: p.Tokens})
+		u.parts[p.Hash] = u.order.PushFront(cached(p))
 		u.held += p.Tokens
 	}
 	u.evict()
@@ -121,8 +118,8 @@
 		}
 		c := e.Value.(cached)
 		u.order.Remove(e)
-		delete(u.parts, c.hash)
-		u.held -= c.tokens
+		delete(u.parts, c.Hash)
+		u.held -= c.Tokens
 	}
 }
 
--- /dev/null
+++ b/place/memory.go
@@ -0,0 +1,55 @@
+package place
+
+import (
+	"time"
+
+	"cactustide/fleet"
+)
+
+// Memory is what an entry believes of an engine's cache.
+type Memory struct {
+	// Parts are the cached parts, the most recently used first.
+	Parts []Part
+	// Backlog is the time until the prompts sent so far are read.
+	Backlog time.Duration
+}
+
+// Memories returns what is believed of the engines, by id.
+func (m *Model) Memories(now time.Time) map[string]Memory {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := map[string]Memory{}
+	for id, u := range m.upstreams {
+		if u.order.Len() == 0 {
+			continue
+		}
+		memory := Memory{Backlog: max(0, u.busy.Sub(now))}
+		for e := u.order.Front(); e != nil; e = e.Next() {
+			memory.Parts = append(memory.Parts, Part(e.Value.(cached)))
+		}
+		out[id] = memory
+	}
+	return out
+}
+
+// Recall adds what another entry believes of an engine. Parts that are known
+// here stay as they are; the others count as used longer ago.
+func (m *Model) Recall(now time.Time, to fleet.Upstream, parts []Part, backlog time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	u := m.upstream(to)
+	for _, p := range parts {
+		if _, ok := u.parts[p.Hash]; ok {
+			continue
+		}
+		u.parts[p.Hash] = u.order.PushBack(cached(p))
+		u.held += p.Tokens
+		if _, ok := m.used[p.Hash]; !ok {
+			m.used[p.Hash] = now
+		}
+	}
+	if until := now.Add(backlog); until.After(u.busy) {
+		u.busy = until
+	}
+	u.evict()
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/zeebo/errs"
 	"google.golang.org/protobuf/proto"
 
 	"cactustide/meter"
@@ -72,6 +71,10 @@
 	Positions func() []*wire.Position
 	// Items returns what this entry holds under a prefix.
 	Items func(prefix int) *wire.CatchReply
+	// Recall returns what this entry believes of the engines.
+	Recall func(now time.Time) *wire.RecallReply
+	// OnPeer is told of a peer that was not heard for a while.
+	OnPeer func(now time.Time, address string)
 
 	name    string
 	address string
@@ -307,35 +310,41 @@
 			h.log.With("from", from.String()).Warnf("unreadable beat: %v", err)
 			continue
 		}
-		if h.accepts(time.Now(), from.String(), b) {
-			h.OnBeat(time.Now(), b)
+		now := time.Now()
+		newer, fresh := h.accepts(now, from.String(), b)
+		if fresh {
+			h.OnPeer(now, from.String())
+		}
+		if newer {
+			h.OnBeat(now, b)
 		}
 	}
 }
 
-// accepts records the sender and reports whether the beat is newer than those
-// seen of its run.
-func (h *Hub) accepts(now time.Time, from string, b *wire.Beat) bool {
+// accepts records the sender. It reports whether the beat is newer than those
+// seen of its run, and whether the sender was not heard for a while.
+func (h *Hub) accepts(now time.Time, from string, b *wire.Beat) (newer, fresh bool) {
 	if b.GetProcess() == h.process {
-		return false
+		return false, false
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	p := h.add(now, from, false)
 	if p == nil {
-		return false
+		return false, false
 	}
 	if p.process == b.GetProcess() && b.GetSequence() <= p.sequence {
-		return false
+		return false, false
 	}
-	if p.process != b.GetProcess() || now.Sub(p.heard) > quietLimit {
+	fresh = p.process != b.GetProcess() || now.Sub(p.heard) > quietLimit
+	if fresh {
 		h.log.With("peer", b.GetName()).With("address", from).Infof("peer heard")
 	}
 	p.name, p.process, p.sequence, p.heard = b.GetName(), b.GetProcess(), b.GetSequence(), now
 	for _, other := range b.GetPeers() {
 		h.add(now, other, false)
 	}
-	return true
+	return true, fresh
 }
 
 // Address returns the peer address of a run, or an empty text.
@@ -379,6 +388,13 @@
 	return err
 }
 
+// Recall returns what this entry believes of the engines.
+func (s *Service) Recall(_ *Envelope, out *Envelope) error {
+	data, err := proto.Marshal(s.hub.Recall(time.Now()))
+	out.Data = data
+	return err
+}
+
 func (h *Hub) accept(server *rpc.Server) {
 	var open sync.Map
 	defer open.Range(func(c, _ any) bool { _ = c.(net.Conn).Close(); return true }) // Ends its server.
@@ -400,37 +416,39 @@
 	}
 }
 
-var errTimeout = errs.New("no answer within the limit")
-
 // Catch fetches what a peer holds under a prefix.
 func (h *Hub) Catch(address string, prefix int) (*wire.CatchReply, error) {
+	reply := &wire.CatchReply{}
+	return reply, call("Catch", address, &wire.CatchRequest{Prefix: uint32(prefix)}, reply)
+}
+
+// FetchRecall fetches what a peer believes of the engines.
+func (h *Hub) FetchRecall(address string) (*wire.RecallReply, error) {
+	reply := &wire.RecallReply{}
+	return reply, call("Recall", address, &wire.CatchRequest{}, reply)
+}
+
+// call makes one call over a connection of its own; such calls are rare.
+func call(method, address string, request, reply proto.Message) error {
 	conn, err := net.DialTimeout("tcp", address, callLimit)
 	if err != nil {
-		return nil, &Error{Op: "catch up", Kind: KindCall, Err: err}
+		return &Error{Op: method, Kind: KindCall, Err: err}
 	}
 	defer func() { _ = conn.Close() }() // The answer was read, or failed already.
 	if err := conn.SetDeadline(time.Now().Add(callLimit)); err != nil {
-		return nil, &Error{Op: "catch up", Kind: KindCall, Err: err}
+		return &Error{Op: method, Kind: KindCall, Err: err}
 	}
-	data, err := proto.Marshal(&wire.CatchRequest{Prefix: uint32(prefix)})
+	data, err := proto.Marshal(request)
 	if err != nil {
-		return nil, &Error{Op: "catch up", Kind: KindCodec, Err: err}
+		return &Error{Op: method, Kind: KindCodec, Err: err}
 	}
-	client := rpc.NewClient(conn)
 	var out Envelope
-	call := client.Go(rpcName+".Catch", &Envelope{Data: data}, &out, make(chan *rpc.Call, 1))
-	select {
-	case <-call.Done:
-		err = call.Error
-	case <-time.After(callLimit):
-		err = errTimeout
+	// The connection's deadline ends the call.
+	if err := rpc.NewClient(conn).Call(rpcName+"."+method, &Envelope{Data: data}, &out); err != nil {
+		return &Error{Op: method, Kind: KindCall, Err: err}
 	}
-	if err != nil {
-		return nil, &Error{Op: "catch up", Kind: KindCall, Err: err}
-	}
-	reply := &wire.CatchReply{}
 	if err := proto.Unmarshal(out.Data, reply); err != nil {
-		return nil, &Error{Op: "catch up", Kind: KindCodec, Err: err}
+		return &Error{Op: method, Kind: KindCodec, Err: err}
 	}
-	return reply, nil
+	return nil
 }
