--- a/place/engine.go
+++ b/place/engine.go
@@ -33,8 +33,10 @@
 // run is a request that an upstream works on, as far as is known.
 type run struct {
 	pause time.Duration
-	// tokens of memory that it holds.
+	// tokens of memory that it holds alone, and the shared parts that it holds
+	// together with others.
 	tokens int
+	parts  []Part
 	// read is when its prompt is expected to be read.
 	read time.Time
 	// end is when it is expected to end; told runs are dropped then.
@@ -59,6 +61,9 @@
 	parts    map[uint64]*list.Element
 	order    *list.List // Of cached; the least recently used is at the back.
 	held     int
+	// shared counts the runs that hold a part; used is the memory that cannot yield.
+	shared map[uint64]int
+	used   int
 	// memory of running requests and cached parts, tokens.
 	memory int
 	// excess is by how much first events came later than expected lately.
@@ -73,7 +78,48 @@
 }
 
 func newUpstream(born int64) *upstream {
-	return &upstream{runs: map[uint64]*run{}, parts: map[uint64]*list.Element{}, order: list.New(), born: born}
+	return &upstream{
+		runs: map[uint64]*run{}, parts: map[uint64]*list.Element{}, order: list.New(),
+		shared: map[uint64]int{}, born: born,
+	}
+}
+
+// enter counts a run's memory.
+func (u *upstream) enter(id uint64, r *run) {
+	u.runs[id] = r
+	u.used += r.tokens
+	for _, p := range r.parts {
+		if u.shared[p.Hash]++; u.shared[p.Hash] == 1 {
+			u.used += p.Tokens
+		}
+	}
+}
+
+// leave releases a run's memory.
+func (u *upstream) leave(id uint64) {
+	r, ok := u.runs[id]
+	if !ok {
+		return
+	}
+	delete(u.runs, id)
+	u.used -= r.tokens
+	for _, p := range r.parts {
+		if u.shared[p.Hash]--; u.shared[p.Hash] == 0 {
+			delete(u.shared, p.Hash)
+			u.used -= p.Tokens
+		}
+	}
+}
+
+// need is the memory that a request takes beyond what is in use.
+func (u *upstream) need(w *Work) int {
+	n := w.Prompt + w.output()
+	for _, p := range w.Parts {
+		if u.shared[p.Hash] > 0 {
+			n -= p.Tokens
+		}
+	}
+	return n
 }
 
 // cachedTokens returns how many tokens of the prompt's start are cached.
@@ -107,11 +153,11 @@
 	if u.memory <= 0 {
 		return
 	}
-	running := 0
+	own := 0
 	for _, r := range u.runs {
-		running += r.tokens
+		own += r.tokens
 	}
-	for u.held+running > u.memory {
+	for u.held+own > u.memory {
 		e := u.order.Back()
 		if e == nil {
 			return
@@ -127,7 +173,7 @@
 func (u *upstream) expire(now time.Time) {
 	for id, r := range u.runs {
 		if r.told && now.After(r.end) {
-			delete(u.runs, id)
+			u.leave(id)
 		}
 	}
 }
--- a/place/model.go
+++ b/place/model.go
@@ -65,6 +65,14 @@
 	Started time.Time
 }
 
+// output is the expected number of output tokens.
+func (w *Work) output() int {
+	if w.Output > 0 {
+		return w.Output
+	}
+	return usualOutput
+}
+
 // service is what was learnt of a service's upstreams.
 type service struct {
 	// scale corrects the predicted time to read a prompt.
@@ -263,6 +271,13 @@
 }
 
 const (
+	// memoryFull is the share of an engine's memory above which requests wait: the
+	// lengths of outputs are estimates.
+	memoryFull = 0.85
+	// memoryTurn is the time in which an engine's running requests change once.
+	memoryTurn = 4 * time.Second
+	// overCost is the harm of an engine whose memory is asked for twice.
+	overCost = 20.0
 	// failureCost is the harm of an answer that fails.
 	failureCost = 2.0
 	// bannedCost puts upstreams that seem away behind all others.
@@ -291,7 +306,12 @@
 	f.Cost += price.Wait * f.First.Seconds()
 	f.Cost += price.Read * read.Seconds()
 	f.Cost += fullCost * float64(full)
-	f.Cost += s.harm(now, u, w, have, backlog, read)
+	if over := u.used + u.need(w) - int(memoryFull*float64(w.Memory)); over > 0 && w.Memory > 0 {
+		// It waits till others have left, or pushes one of them out.
+		f.First += time.Duration(float64(over) / float64(w.Memory) * float64(memoryTurn))
+		f.Cost += overCost * float64(over) / float64(w.Memory)
+	}
+	f.Cost += s.harm(u, w, backlog, read)
 	f.Cost += s.ownPause(u, w, now)
 	f.Cost += crowdCost * float64(n) / float64(max(1, c.Slots))
 	return f
@@ -301,21 +321,26 @@
 // tokens of all a little.
 const crowdCost = 0.05
 
+// loadedGap predicts the time between two events while prompts are read all the
+// time.
+func (s *service) loadedGap(stride int) time.Duration {
+	return time.Duration(max(1, stride)) * (s.step + s.readTime(chunkTokens, usualBefore))
+}
+
 // gapDuring predicts the longest time between two events while prompts are read
 // for a time.
-func (s *service) gapDuring(w *Work, reading time.Duration, before int) time.Duration {
-	stride := time.Duration(max(1, w.Stride))
-	return stride*s.step + min(reading, stride*s.readTime(chunkTokens, before))
+func (s *service) gapDuring(stride int, reading time.Duration) time.Duration {
+	return min(time.Duration(max(1, stride))*s.step+reading, s.loadedGap(stride))
 }
 
 // harm is the number of running requests whose pauses become too long if the
 // prompt is read there too.
-func (s *service) harm(now time.Time, u *upstream, w *Work, before int, backlog, read time.Duration) float64 {
+func (s *service) harm(u *upstream, w *Work, backlog, read time.Duration) float64 {
 	if read == 0 {
 		return 0
 	}
-	was := s.gapDuring(w, backlog, before)
-	is := s.gapDuring(w, backlog+read, before)
+	was := s.gapDuring(w.Stride, backlog)
+	is := s.gapDuring(w.Stride, backlog+read)
 	sum := 0.0
 	for _, r := range u.runs {
 		if r.pause > 0 {
@@ -331,13 +356,11 @@
 	if w.Pause == 0 {
 		return 0
 	}
-	stride := time.Duration(max(1, w.Stride))
-	worst := stride*s.step + stride*s.readTime(chunkTokens, usualBefore)
-	return lateness(worst, w.Pause, pauseWidth*w.Pause.Seconds()) * min(1, u.pressureAt(now))
+	return lateness(s.loadedGap(w.Stride), w.Pause, pauseWidth*w.Pause.Seconds()) * min(1, u.pressureAt(now))
 }
 
 // usualBefore is the number of tokens that stand before a usual chunk.
-const usualBefore = 8000
+const usualBefore = 16000
 
 // pressureAt is the share of time spent reading, decayed until now.
 func (u *upstream) pressureAt(now time.Time) float64 {
@@ -359,7 +382,7 @@
 	firstWidth   = 0.12
 	backlogWidth = 0.3
 	// pauseWidth is a share of the longest pause.
-	pauseWidth = 0.07
+	pauseWidth = 0.1
 )
 
 // homeCost makes entries that know nothing of each other agree on where parts
--- a/place/ticket.go
+++ b/place/ticket.go
@@ -37,7 +37,7 @@
 	t.clean = u.backlog(now) <= cleanBacklog && u.count(now) < to.Slots
 	t.run, t.predicted = m.add(now, s, u, w)
 	t.expected = t.run.read.Sub(now) + s.base + s.step
-	u.runs[t.id] = t.run
+	u.enter(t.id, t.run)
 	u.after++
 	return t
 }
@@ -58,12 +58,13 @@
 	u.busy = begin.Add(read)
 	u.pressure = u.pressureAt(now) + read.Seconds()/pressureLife.Seconds()
 	u.pressed = now
-	output := w.Output
-	if output <= 0 {
-		output = usualOutput
-	}
+	output := w.output()
 	r.pause = w.Pause
-	r.tokens = w.Prompt - have + output
+	r.parts = w.Parts
+	r.tokens = w.Prompt + output
+	for _, p := range w.Parts {
+		r.tokens -= p.Tokens
+	}
 	r.read = u.busy
 	r.end = u.busy.Add(time.Duration(toldMargin * float64(time.Duration(output)*s.step)))
 	u.touch(w.Parts)
@@ -79,7 +80,7 @@
 	u := m.upstream(to)
 	r, _ := m.add(now, m.service(to.Service), u, w)
 	r.told = true
-	u.runs[key] = r
+	u.enter(key, r)
 	m.told[key] = u
 }
 
@@ -88,7 +89,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if u, ok := m.told[key]; ok {
-		delete(u.runs, key)
+		u.leave(key)
 		delete(m.told, key)
 	}
 }
@@ -164,7 +165,7 @@
 	if t.run == nil {
 		return
 	}
-	delete(t.at.runs, t.id)
+	t.at.leave(t.id)
 	t.at.after--
 	// A request that left before its prompt was read leaves no reading behind.
 	if t.engine && t.first.IsZero() && t.run.read.After(now) {
