--- a/relay/relay.go
+++ b/relay/relay.go
@@ -305,19 +305,23 @@
 			time.Sleep(gatherInterval) // An answer "no such port" to an earlier beat; not a reason to spin.
 			continue
 		}
-		b := &wire.Beat{}
-		if err := proto.Unmarshal(buffer[:n], b); err != nil {
-			h.log.With("from", from.String()).Warnf("unreadable beat: %v", err)
-			continue
-		}
-		now := time.Now()
-		newer, fresh := h.accepts(now, from.String(), b)
-		if fresh {
-			h.OnPeer(now, from.String())
-		}
-		if newer {
-			h.OnBeat(now, b)
-		}
+		h.take(time.Now(), from.String(), buffer[:n])
+	}
+}
+
+// take takes one datagram.
+func (h *Hub) take(now time.Time, from string, data []byte) {
+	b := &wire.Beat{}
+	if err := proto.Unmarshal(data, b); err != nil {
+		h.log.With("from", from).Warnf("unreadable beat: %v", err)
+		return
+	}
+	newer, fresh := h.accepts(now, from, b)
+	if fresh {
+		h.OnPeer(now, from)
+	}
+	if newer {
+		h.OnBeat(now, b)
 	}
 }
 
