Add a soak that runs the real programs under random faults

Change: entries as processes, stand-ins of the store and of upstreams, loopback relays that delay, silence and reset; 28 kinds of faults from a seed, overlapping; an oracle of what callers saw and upstreams ran: once, truth of refusals, own and whole answers, order, time limits, drain, configuration, budget, recovery. Ruled out: faults inside the product's code.

--- /dev/null
+++ b/lab/soak.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"cactustide/soak"
+)
+
+// newSoak runs the real programs under random faults.
+func newSoak() command {
+	parser := newSubcommand("soak", "runs the real programs under random faults and checks the promises")
+	seed := uint64(0)
+	seeds := 1
+	entries, upstreams, callers := 3, 4, 12
+	length := 12 * time.Second
+	binary := "bin/cactustide"
+	parser.UInt64(&seed, "s", "seed", "first seed; 0 draws one")
+	parser.Int(&seeds, "n", "seeds", "number of seeds")
+	parser.Int(&entries, "e", "entries", "number of entries")
+	parser.Int(&upstreams, "u", "upstreams", "number of upstreams")
+	parser.Int(&callers, "c", "callers", "number of callers")
+	parser.Duration(&length, "d", "duration", "time with faults in a run")
+	parser.String(&binary, "b", "binary", "the product's program")
+	return command{parser: parser, run: func() error {
+		if seed == 0 {
+			seed = 1 + rand.Uint64N(1_000_000)
+		}
+		failed := 0
+		faults := map[string]int{}
+		for i := range seeds {
+			at := seed + uint64(i)
+			dir := filepath.Join(os.TempDir(), "cactustide-soak-"+strconv.FormatUint(at, 10))
+			r, err := soak.Run(soak.Options{
+				Seed: at, Binary: binary, Dir: dir, Length: length, Entries: entries, Upstreams: upstreams, Callers: callers, Out: os.Stderr,
+			})
+			if err != nil {
+				return err
+			}
+			for kind, n := range r.Faults {
+				faults[kind] += n
+			}
+			fmt.Printf("seed %d: %d requests, %d served, %d refused, %d failed, %d violations\n", at, r.Requests, r.Served, r.Refused, r.Failed, len(r.Violations))
+			if len(r.Violations) == 0 {
+				_ = os.RemoveAll(dir) // Leftovers of a clean run are of no use.
+				continue
+			}
+			failed++
+			for _, v := range r.Violations[:min(10, len(r.Violations))] {
+				fmt.Println("  ", v)
+			}
+			fmt.Printf("   again: make soak SEED=%d; plan, history and logs: %s\n", at, dir)
+		}
+		kinds := soak.Kinds()
+		slices.Sort(kinds)
+		for _, kind := range kinds {
+			fmt.Printf("%s %d  ", kind, faults[kind])
+		}
+		fmt.Printf("\n%d seeds, %d with violations\n", seeds, failed)
+		if failed > 0 {
+			return errs.New("%d of %d seeds broke a promise", failed, seeds)
+		}
+		return nil
+	}}
+}
--- /dev/null
+++ b/soak/relay.go
@@ -0,0 +1,116 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// relay passes TCP connections on and lets them suffer.
+type relay struct {
+	listener net.Listener
+	target   string
+	delay    atomic.Int64 // Nanoseconds before each piece.
+	// silent holds all bytes back; up and down hold one direction back.
+	silent, up, down atomic.Bool
+	mu               sync.Mutex
+	conns            map[net.Conn]bool
+	group            sync.WaitGroup
+}
+
+func newRelay(listen, target string) (*relay, error) {
+	l, err := net.Listen("tcp", listen)
+	if err != nil {
+		return nil, err
+	}
+	r := &relay{listener: l, target: target, conns: map[net.Conn]bool{}}
+	r.group.Go(r.accept)
+	return r, nil
+}
+
+func (r *relay) accept() {
+	for {
+		c, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		other, err := net.DialTimeout("tcp", r.target, time.Second)
+		if err != nil {
+			reset(c)
+			continue
+		}
+		r.track(c, other)
+		r.group.Go(func() { r.copy(c, other, &r.down) })
+		r.group.Go(func() { r.copy(other, c, &r.up) })
+	}
+}
+
+func (r *relay) track(conns ...net.Conn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range conns {
+		r.conns[c] = true
+	}
+}
+
+// copy passes bytes on from one connection to the other. A reset on one side is
+// a reset on the other, an end an end.
+func (r *relay) copy(to, from net.Conn, held *atomic.Bool) {
+	buffer := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buffer)
+		time.Sleep(time.Duration(r.delay.Load()))
+		for r.silent.Load() || held.Load() {
+			time.Sleep(10 * time.Millisecond)
+		}
+		if n > 0 {
+			if _, failed := to.Write(buffer[:n]); failed != nil {
+				reset(from)
+				return
+			}
+		}
+		if err == io.EOF {
+			if tcp, ok := to.(*net.TCPConn); ok {
+				_ = tcp.CloseWrite() // It may be closed already.
+			}
+			return
+		}
+		if err != nil {
+			reset(to)
+			return
+		}
+	}
+}
+
+// resetAll resets every open connection.
+func (r *relay) resetAll() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.conns {
+		reset(c)
+		delete(r.conns, c)
+	}
+}
+
+func (r *relay) heal() {
+	r.delay.Store(0)
+	r.silent.Store(false)
+	r.up.Store(false)
+	r.down.Store(false)
+}
+
+func (r *relay) close() {
+	r.heal()
+	_ = r.listener.Close() // Closing is all that is left to do.
+	r.resetAll()
+	r.group.Wait()
+}
+
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
