--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 .DEFAULT_GOAL := help
 GO ?= go
 
-.PHONY: help build run smoke test fuzz spec slopes capacity measure tables fmt lint generate clean
+.PHONY: help build run smoke test fuzz spec soak heavy slopes capacity measure tables fmt lint generate clean
 
 help: ## Lists the targets.
 	@awk -F':.*## ' '/^[a-z-]+:.*## /{printf "  %-10s %s\n", $$1, $$2}' $(MAKEFILE_LIST)
@@ -21,7 +21,13 @@
 test: ## Runs the tests.
 	@scripts/test.sh
 
+SEED ?= 0
+SEEDS ?= 1
+soak: build ## Runs the real programs under random faults; SEED=n SEEDS=n.
+	bin/lab soak --seed $(SEED) --seeds $(SEEDS)
 
+heavy: build ## Compares ways of choosing an engine under heavy loads.
+	bin/lab heavy
 
 spec: ## Model checks the specifications with spin.
 	@scripts/spec.sh
--- a/direct/admin_test.go
+++ b/direct/admin_test.go
@@ -115,3 +115,20 @@
 		t.Errorf("got status %d without a budget, want the upstream's 500", got.status)
 	}
 }
+
+// TestComeBack: callers who find no configuration come back when the store may
+// have returned, and within the part of their time that they wait.
+func TestComeBack(t *testing.T) {
+	s := newStack(t, 0)
+	s.store.SetFaults(stand.StoreFaults{Busy: true})
+	e := s.newEntry(0)
+	for name, c := range map[string]struct{ left, want string }{
+		"long":  {"10000", "2.000"},
+		"short": {"1000", "0.300"},
+	} {
+		got := s.send(context.Background(), e, ask{path: "/read/a", key: testKey, header: map[string]string{"Cactustide-Deadline-Ms": c.left}})
+		if after := got.header.Get("Retry-After"); got.status != http.StatusServiceUnavailable || after != c.want {
+			t.Errorf("%s: got status %d, Retry-After %q, want 503 and %s", name, got.status, after, c.want)
+		}
+	}
+}
--- a/direct/forward.go
+++ b/direct/forward.go
@@ -41,7 +41,7 @@
 func (e *Entry) forward(w http.ResponseWriter, r *http.Request, q *request) {
 	ctx := r.Context()
 	if q.service == nil {
-		e.answer(w, q, http.StatusServiceUnavailable, reasonUpstream, 0)
+		e.answer(w, q, http.StatusServiceUnavailable, reasonUpstream, q.comeBack(reasonUpstream))
 		return
 	}
 	e.budget.Seen(q.arrived, q.service.Name)
@@ -251,7 +251,7 @@
 	if a.full && reason == reasonUpstream {
 		reason = reasonFull
 	}
-	e.answer(w, q, status, reason, 0)
+	e.answer(w, q, status, reason, q.comeBack(reason))
 }
 
 func isTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
--- a/direct/handle.go
+++ b/direct/handle.go
@@ -73,7 +73,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	if status != 0 {
-		e.answer(w, q, status, reason, 0)
+		e.answer(w, q, status, reason, q.comeBack(reason))
 		return
 	}
 	defer e.bodies.give(int64(len(q.body)))
@@ -232,6 +232,32 @@
 	e.logEnd(q, status, reason, err)
 }
 
+const (
+	// unreadyAfter is when a caller should come back to an entry without a
+	// configuration: the store's outages last for seconds.
+	unreadyAfter = 2 * time.Second
+	// fullAfter is when a caller should come back that found no place.
+	fullAfter = 500 * time.Millisecond
+	// comeBackPart is the part of its time left for which a caller waits at most.
+	comeBackPart = 0.3
+)
+
+// comeBack is when a refused caller should come back. Callers often come back
+// once only, so too early is as bad as too late.
+func (q *request) comeBack(reason string) time.Duration {
+	after := leastAfter
+	switch reason {
+	case reasonUnready:
+		after = unreadyAfter
+	case reasonUpstream, reasonFull, reasonMemory:
+		after = fullAfter
+	}
+	if q.ask.Limited {
+		after = min(after, time.Duration(comeBackPart*float64(q.ask.Left)))
+	}
+	return after
+}
+
 // leastAfter is the shortest time after which a refused caller may come back.
 const leastAfter = 200 * time.Millisecond
 
