--- a/cmds/check.go
+++ b/cmds/check.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"os"
 
 	"cactustide/config"
+	"cactustide/platform"
 	"cactustide/setup"
 )
 
@@ -12,7 +14,7 @@
 	parser := newSubcommand("check", "checks a settings file (--role) or a configuration document")
 	var file, role string
 	parser.AddPositionalValue(&file, "file", 1, true, "the file to check")
-	parser.String(&role, "r", "role", "role whose settings the file holds: entry, agent or ctl; without it the file is a configuration document")
+	parser.String(&role, "r", "role", "role whose settings the file holds: entry, agent, ctl, or direct for a platform's own file; without it the file is a configuration document")
 	return command{parser: parser, run: func(s streams) int {
 		if role != "" {
 			return checkSettings(s, file, role)
@@ -23,9 +25,11 @@
 
 func checkSettings(s streams, file, role string) int {
 	switch role {
+	case roleDirect:
+		return checkDirect(s, file)
 	case setup.RoleEntry, setup.RoleAgent, setup.RoleCtl:
 	default:
-		fmt.Fprintf(s.err, "role: %q is not allowed; entry, agent or ctl\n", role)
+		fmt.Fprintf(s.err, "role: %q is not allowed; entry, agent, ctl or direct\n", role)
 		return ExitUsage
 	}
 	if _, code := loadSettings(s, file, role); code != ExitOK {
@@ -35,6 +39,21 @@
 	return ExitOK
 }
 
+// roleDirect is the role of an entry that forwards straight to upstreams.
+const roleDirect = "direct"
+
+func checkDirect(s streams, file string) int {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return s.fail(&Error{Op: "read settings", Kind: KindFile, Err: err}, ExitInvalid)
+	}
+	if _, err := platform.ParseSettings(text); err != nil {
+		return s.fail(err, ExitInvalid)
+	}
+	fmt.Fprintf(s.out, "%s: no faults\n", file)
+	return ExitOK
+}
+
 func checkDocument(s streams, file string) int {
 	d, code := loadDocument(s, file)
 	if code != ExitOK {
--- /dev/null
+++ b/cmds/direct_test.go
@@ -0,0 +1,57 @@
+package cmds
+
+import (
+	"bytes"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func TestCheckDirect(t *testing.T) {
+	cases := map[string]struct {
+		text string
+		code int
+		want string
+	}{
+		"good":     {`{"node-name":"n","ip":"10.0.0.1","zone":"z","listen":{"frontend":"10.0.0.1:1","readiness":"10.0.0.1:2"},"internal-ports":[7],"limits":{"memory-mb":9,"max-fds":900},"bounds":{"grace-s":8,"budget-window-s":10},"platform":{"address":"10.0.0.2:3"}}`, ExitOK, "no faults"},
+		"no ports": {`{"node-name":"n"}`, ExitInvalid, "internal-ports"},
+		"no JSON":  {`x`, ExitInvalid, "settings"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			file := filepath.Join(t.TempDir(), "boot.json")
+			if err := os.WriteFile(file, []byte(c.text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			var out bytes.Buffer
+			if got := Run([]string{"check", file, "--role", "direct"}, &out, &out); got != c.code || !strings.Contains(out.String(), c.want) {
+				t.Errorf("got %d %q, want %d and %q", got, out.String(), c.code, c.want)
+			}
+		})
+	}
+}
+
+func TestEntries(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`{"name":"e-1","ready":true,"version":"7","upstreams":[{"id":"u","banned":true}]}`))
+	})}
+	go func() { _ = server.Serve(l) }()
+	defer func() { _ = server.Close() }()
+	var out bytes.Buffer
+	if got := Run([]string{"entries", "--admin", l.Addr().String()}, &out, &out); got != ExitOK || !strings.Contains(out.String(), "e-1") {
+		t.Errorf("got %d %q, want the entry's line", got, out.String())
+	}
+	if got := Run([]string{"entries"}, &out, &out); got != ExitUsage {
+		t.Errorf("got %d without an address, want %d", got, ExitUsage)
+	}
+	if got := Run([]string{"entries", "--admin", "127.0.0.1:1"}, &out, &out); got != ExitFailed {
+		t.Errorf("got %d for an entry that is not there, want %d", got, ExitFailed)
+	}
+}
--- a/cmds/run.go
+++ b/cmds/run.go
@@ -65,7 +65,7 @@
 	parser.Description = "routes language-model traffic with service levels and priorities"
 	parser.ShowVersionWithVersionFlag = false
 	var all []command
-	all = append(all, newEntry(), newAgent(), newDirect(), newCheck())
+	all = append(all, newEntry(), newAgent(), newDirect(), newEntries(), newCheck())
 	ctl, ctlCommands := newCtl()
 	for _, c := range all {
 		parser.AttachSubcommand(c.parser, 1)
