--- a/relay/relay.go
+++ b/relay/relay.go
@@ -47,8 +47,11 @@
 	// beat gathers what was sent.
 	beatInterval   = 250 * time.Millisecond
 	gatherInterval = 25 * time.Millisecond
-	// peersEvery is how many quiet beats pass between two lists of peers.
-	peersEvery = 4
+	// wholeInterval is the time between two beats that name the sender and say how
+	// far it knows the store; those between carry news alone.
+	wholeInterval = 200 * time.Millisecond
+	// peersEvery is how many whole beats pass between two lists of peers.
+	peersEvery = 5
 	// quietLimit is the age at which a peer no longer counts as there.
 	quietLimit = 3 * time.Second
 	// forgetLimit is the age at which a peer that is no seed is forgotten.
@@ -86,11 +89,15 @@
 	mu      sync.Mutex
 	peers   map[string]*peer
 	// out gathers what the next beat tells.
-	out   wire.Beat
-	size  int
-	kick  chan struct{}
-	done  chan struct{}
-	group sync.WaitGroup
+	out  wire.Beat
+	size int
+	// whole is when the last whole beat was sent, wholes their number. Only run
+	// uses them.
+	whole  time.Time
+	wholes int
+	kick   chan struct{}
+	done   chan struct{}
+	group  sync.WaitGroup
 }
 
 type peer struct {
@@ -247,17 +254,25 @@
 }
 
 func (h *Hub) send(now time.Time, sequence uint64) {
-	positions := h.Positions()
+	whole := now.Sub(h.whole) >= wholeInterval
+	var positions []*wire.Position
+	if whole {
+		positions = h.Positions()
+	}
 	h.mu.Lock()
 	b := &wire.Beat{
-		Name: h.name, Process: h.process, Sequence: sequence, Positions: positions,
+		Process: h.process, Sequence: sequence, Positions: positions,
 		Sent: h.out.Sent, Ended: h.out.Ended, Doubts: h.out.Doubts, Marks: h.out.Marks,
 		Outcomes: h.out.Outcomes,
 	}
 	h.out, h.size = wire.Beat{}, 0
-	if sequence%peersEvery == 1 {
-		b.Address = h.address
-		b.Peers = h.known(now)
+	if whole {
+		h.whole = now
+		b.Name = h.name
+		if h.wholes++; h.wholes%peersEvery == 1 {
+			b.Address = h.address
+			b.Peers = h.known(now)
+		}
 	}
 	targets := h.targets(now)
 	h.mu.Unlock()
@@ -367,7 +382,10 @@
 	if fresh {
 		h.log.With("peer", b.GetName()).With("address", from).Infof("peer heard")
 	}
-	p.name, p.process, p.sequence, p.heard = b.GetName(), b.GetProcess(), b.GetSequence(), now
+	p.process, p.sequence, p.heard = b.GetProcess(), b.GetSequence(), now
+	if b.GetName() != "" {
+		p.name = b.GetName()
+	}
 	for _, other := range b.GetPeers() {
 		h.add(now, other, false)
 	}
