Bound callers' connections; pass whole events on at once; drop the unused writes

Cause: the descriptor limit had no effect; a whole event waited in the buffer while the start of the next one had arrived; nothing writes to the store, yet its client could; a success without an upstream's signature was passed on.

--- a/direct/entry.go
+++ b/direct/entry.go
@@ -44,6 +44,9 @@
 	memoryShare = 0.6
 	// bodyShare is the part of the memory for request bodies in progress.
 	bodyShare = 0.25
+	// callerShare is the part of the sockets for callers; the rest is for upstreams,
+	// peers and the store.
+	callerShare = 0.6
 	// sweepInterval is the time between two sweeps of idle connections.
 	sweepInterval = 250 * time.Millisecond
 	// statusInterval is the time between two lines on what was learnt.
@@ -106,7 +109,7 @@
 		breaks:  retry.NewBreaks(),
 		dropped: func() int64 { return 0 },
 		bodies:  bodies{limit: int64(bodyShare * float64(s.Memory))},
-		idle:    idleSet{since: map[net.Conn]time.Time{}},
+		idle:    idleSet{since: map[net.Conn]time.Time{}, limit: int(callerShare * float64(s.Sockets))},
 		hub:     relay.New(s.Name, s.Peer, s.Seeds, process, logger),
 		behind:  make([]lag, len(items.Prefixes)),
 	}
--- a/direct/entry_test.go
+++ b/direct/entry_test.go
@@ -92,6 +92,8 @@
 		"repeatable, no answer":     {"/read/a", stand.FaultGarbage, 200, whole, 2},
 		"repeatable, refused":       {"/read/a", stand.FaultRefuse, 200, whole, 1},
 		"once, refused":             {"/book/a", stand.FaultRefuse, 200, whole, 1},
+		"repeatable, not signed":    {"/read/a", stand.FaultUnsigned, 200, whole, 2},
+		"once, not signed":          {"/book/a", stand.FaultUnsigned, 502, "", 1},
 		"once, reset":               {"/book/a", stand.FaultReset, 502, "", 1},
 		"once, cut":                 {"/book/a", stand.FaultCut, 502, "", 1},
 		"once, no answer":           {"/book/a", stand.FaultGarbage, 502, "", 1},
--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -38,6 +38,7 @@
 
 var (
 	errStray    = errs.New("an answer to another request")
+	errUnsigned = errs.New("a success that no upstream signed")
 	errNoAnswer = errs.New("no answer in the protocol")
 )
 
@@ -159,6 +160,9 @@
 		}
 		reply := x.entry.wire.ReadReply(resp.Header)
 		if reply.ID == q.ask.ID || reply.ID == "" && resp.StatusCode >= http.StatusMultipleChoices {
+			if resp.StatusCode < http.StatusMultipleChoices && !reply.Signed {
+				return errUnsigned
+			}
 			x.resp, x.reply = resp, reply
 			return nil
 		}
--- a/direct/idle.go
+++ b/direct/idle.go
@@ -19,14 +19,26 @@
 	since map[net.Conn]time.Time
 	// longest is the largest limit seen so far, because callers may still go by it.
 	longest time.Duration
+	// open counts the connections; above limit new ones are closed unread, which
+	// lets callers come back elsewhere.
+	open  int
+	limit int
 }
 
 func (s *idleSet) note(c net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if state == http.StateIdle {
+	switch state {
+	case http.StateNew:
+		if s.open++; s.open > s.limit {
+			_ = c.Close() // Nothing was read from it.
+		}
+		return
+	case http.StateIdle:
 		s.since[c] = time.Now()
 		return
+	case http.StateClosed, http.StateHijacked:
+		s.open--
 	}
 	delete(s.since, c)
 }
--- a/direct/pass.go
+++ b/direct/pass.go
@@ -97,6 +97,13 @@
 	}
 }
 
+// holdsEvent reports whether a whole event has arrived already, so that next
+// does not wait.
+func (s *events) holdsEvent() bool {
+	buffered, err := s.reader.Peek(s.reader.Buffered())
+	return err == nil && (bytes.Contains(buffered, []byte("\n\n")) || bytes.Contains(buffered, []byte("\n\r\n")))
+}
+
 // idOf returns the id of an event, or an empty text.
 func idOf(event []byte) string {
 	for line := range bytes.Lines(event) {
@@ -143,7 +150,7 @@
 		}
 		count++
 		_, err = w.Write(event)
-		if err == nil && s.reader.Buffered() == 0 {
+		if err == nil && !s.holdsEvent() {
 			err = flush.Flush()
 		}
 		if err != nil {
--- a/direct/stack_test.go
+++ b/direct/stack_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -90,7 +91,7 @@
 		Name: fmt.Sprintf("entry-%d", i), Centre: "zone-a",
 		Listen: freeAddress(s.t), Ready: freeAddress(s.t), Admin: freeAddress(s.t), Peer: freeAddress(s.t),
 		Store: s.store.Address, Memory: 256 << 20, Sockets: 1000, Stop: 5 * time.Second,
-		RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50, Fresh: 10 * time.Second, Lease: time.Second,
+		RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50, Fresh: 10 * time.Second,
 	}
 	for _, other := range s.entries {
 		settings.Seeds = append(settings.Seeds, other.settings.Peer)
@@ -102,7 +103,7 @@
 	s.t.Cleanup(m.Close)
 	e := &entry{settings: settings}
 	client := e.cutOff(platform.NewStore(s.store.Address, m.CountCall))
-	log := meter.NewLog(io.Discard, "info", "json", "direct")
+	log := meter.NewLog(testOutput(), "info", "json", "direct")
 	e.Entry = direct.New(settings, platform.NewWire(), platform.NewItems(), client, log, m)
 	if err := e.Start(); err != nil {
 		s.t.Fatal(err)
@@ -255,3 +256,14 @@
 	}
 	return b.String()
 }
+
+// testOutput is where entries log to: nowhere, or the file that
+// CACTUSTIDE_TEST_LOG names.
+func testOutput() io.Writer {
+	if name := os.Getenv("CACTUSTIDE_TEST_LOG"); name != "" {
+		if file, err := os.OpenFile(name, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644); err == nil {
+			return file
+		}
+	}
+	return io.Discard
+}
--- a/direct/types.go
+++ b/direct/types.go
@@ -44,7 +44,6 @@
 	// Left is how long the caller waits, if Limited.
 	Left    time.Duration
 	Limited bool
-	Model   string
 	// Parts of the prompt that other requests may share.
 	Parts []place.Part
 	// Prompt and Output are numbers of tokens; Output is the largest allowed.
@@ -71,8 +70,6 @@
 type Reply struct {
 	// ID of the request that is answered; empty if not said.
 	ID string
-	// Upstream that answered; empty if not said.
-	Upstream string
 	// NotRun says that the upstream did not run the request.
 	NotRun bool
 	// Signed answers were made by the upstream's application.
--- a/setup/direct.go
+++ b/setup/direct.go
@@ -38,8 +38,6 @@
 	// Fresh is how long after its last use a part of a prompt should not be read
 	// once more.
 	Fresh time.Duration
-	// Lease is the shortest lifetime of a lease in the store.
-	Lease time.Duration
 }
 
 // Check returns every fault of the settings.
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -139,6 +139,9 @@
 // drain lets an upstream leave and come back, and checks that nothing reaches it
 // in between.
 func (r *runner) drain(u *upstream) {
+	if u.leaving.Swap(true) {
+		return // The end of the first drain would end the second one.
+	}
 	r.store.Put(u.Key(), u.Entry("draining"))
 	from := time.Now()
 	replica := u.Replica
@@ -148,12 +151,16 @@
 				r.violate("drain", "%s ran %s %v after it was draining", replica.ID, run.ID, late)
 			}
 		}
+		u.leaving.Store(false)
 		r.store.Put(replica.Key(), replica.Entry("ready"))
 	})
 }
 
 // reborn restarts an upstream under its id.
 func (r *runner) reborn(u *upstream) {
+	if u.leaving.Load() {
+		return // It would come back as ready in the middle of its drain.
+	}
 	old := u.Replica
 	old.Close()
 	u.relay.resetAll()
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -26,7 +26,7 @@
 // Kinds of faults. Each acts on one entry, one upstream or the store.
 var (
 	entryKinds    = []string{"kill", "term", "pause", "hup", "storereset", "storecut", "storedelay"}
-	upstreamKinds = []string{"reset", "silence", "halfup", "halfdown", "delay", "refuse", "fail", "cut", "stray", "garbage", "mute", "early", "drain", "reborn"}
+	upstreamKinds = []string{"reset", "silence", "halfup", "halfdown", "delay", "refuse", "fail", "cut", "stray", "garbage", "mute", "early", "unsigned", "drain", "reborn"}
 	storeKinds    = []string{"busy", "down", "broken", "slow", "forget", "config", "unreadable", "older"}
 )
 
--- a/soak/run.go
+++ b/soak/run.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"runtime"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -82,6 +83,8 @@
 	real  string
 	// past holds the runs of earlier lifetimes.
 	past []stand.Run
+	// leaving is set while it drains.
+	leaving atomic.Bool
 }
 
 // span is a time during which something was disturbed.
@@ -211,7 +214,7 @@
 	boot := stand.Boot{
 		Name: p.name, Zone: "zone-a", IP: p.ip, Store: p.store.listener.Addr().String(), Seeds: seeds,
 		Listen: portListen, Ready: portReady, Control: portControl, InternalPort: portInternal,
-		Grace: grace, RetryRatio: budgetRatio, RetrySlack: budgetSlack, MemoryMB: 256, Descriptors: 2000, ShortestLeaseMS: 1000,
+		Grace: grace, RetryRatio: budgetRatio, RetrySlack: budgetSlack, MemoryMB: 256, Descriptors: 2000,
 	}
 	if err := os.WriteFile(p.boot, boot.Encode(), 0o644); err != nil {
 		return err
--- a/store/log.go
+++ b/store/log.go
@@ -21,17 +21,11 @@
 	Lost bool
 }
 
-// Log calls a store that keeps a history of its changes. The fields are the
+// Log reads a store that keeps a history of its changes. The fields are the
 // seams for platforms and tests.
 type Log struct {
 	// List reads all items under a prefix, and a revision to watch from.
 	List func(prefix string, limit time.Duration) ([]Item, uint64, error)
 	// Watch returns the changes after a revision, or none when wait is over.
 	Watch func(prefix string, after uint64, wait time.Duration) (Changes, error)
-	// Lease opens a lease of a lifetime.
-	Lease func(life, limit time.Duration) (uint64, error)
-	// Keep renews a lease.
-	Keep func(lease uint64, limit time.Duration) error
-	// Put writes a key under a lease; 0 means none.
-	Put func(key string, value []byte, lease uint64, limit time.Duration) error
 }
