Follow the engines' order of reading; gather quick answers

Cause: engines read the prompts of more urgent requests first, the model read in order of arrival. With that mended, quick answers still spread over engines that later read long prompts. Change: reads wait in the order of urgency; the pace of reading behind others, the time for a token by the context held, and the first guesses are learnt faster; pauses follow the prompts that are read; reading costs more the longer the mean backlog; a stream that cannot be whole in time costs more than a late one; quick answers go where others of their kind keep prompts away. The emulated engines read by urgency as published. Entries tell the tier of sends.

--- a/direct/handle.go
+++ b/direct/handle.go
@@ -141,6 +141,7 @@
 		Output:  q.ask.Output,
 		Target:  q.route.Target,
 		Pause:   q.route.Pause,
+		Limit:   wait,
 		Tier:    q.tier,
 		Centre:  e.settings.Load().Centre,
 		Bytes:   len(q.body) + usualAnswer,
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -105,7 +105,10 @@
 	if !ok || len(s.GetHashes()) != len(s.GetTokens()) {
 		return
 	}
-	w := &place.Work{Prompt: int(s.GetPrompt()), Output: int(s.GetOutput()), Pause: time.Duration(s.GetPause()) * time.Millisecond}
+	w := &place.Work{
+		Prompt: int(s.GetPrompt()), Output: int(s.GetOutput()), Tier: int(s.GetTier()),
+		Pause: time.Duration(s.GetPause()) * time.Millisecond,
+	}
 	for i, h := range s.GetHashes() {
 		w.Parts = append(w.Parts, place.Part{Hash: h, Tokens: int(s.GetTokens()[i])})
 	}
@@ -125,6 +128,7 @@
 		Prompt:   uint32(q.work.Prompt),
 		Output:   uint32(q.work.Output),
 		Pause:    uint32(q.work.Pause.Milliseconds()),
+		Tier:     uint32(q.work.Tier),
 	}
 	for _, p := range q.work.Parts {
 		s.Hashes = append(s.Hashes, p.Hash)
--- a/emul/engine.go
+++ b/emul/engine.go
@@ -5,14 +5,15 @@
 
 import (
 	"container/list"
+	"slices"
 	"time"
 
 	"cactustide/place"
 )
 
 // Sheet holds the costs of an engine, after published behaviour: prompts are
-// read in chunks between the tokens of what runs, and the tokens of a longer
-// context take longer.
+// read in chunks between the tokens of what runs, more urgent ones first, and
+// the tokens of a longer context take longer.
 type Sheet struct {
 	Slots  int
 	Memory int
@@ -45,7 +46,8 @@
 	// First is the time to the first event, Pause the longest between two.
 	First, Pause time.Duration
 
-	left   int // Prompt tokens to be read.
+	left   int  // Prompt tokens to be read.
+	begun  bool // Some of the prompt was read.
 	made   int
 	last   time.Time
 	ticket *place.Ticket
@@ -74,25 +76,52 @@
 	return &engine{sheet: s, parts: map[uint64]*list.Element{}, order: list.New()}
 }
 
-// admit starts waiting jobs while there is a slot.
+// admit starts waiting jobs while there is a slot, more urgent ones first.
 func (e *engine) admit() {
+	slices.SortStableFunc(e.waiting, func(a, b *Job) int { return a.Class.Tier - b.Class.Tier })
 	for len(e.waiting) > 0 && len(e.running) < e.sheet.Slots {
 		j := e.waiting[0]
 		e.waiting = e.waiting[1:]
 		j.left = j.Prompt
-		cached := true
-		for _, p := range j.Parts {
-			element, ok := e.parts[p.Hash]
-			if cached = cached && ok; cached {
-				j.left -= p.Tokens
-				e.order.MoveToFront(element)
-			}
-		}
-		j.left = max(1, j.left)
 		e.running = append(e.running, j)
 	}
 }
 
+// begin starts to read a prompt behind its cached parts.
+func (e *engine) begin(j *Job) {
+	j.begun = true
+	for _, p := range j.Parts {
+		element, ok := e.parts[p.Hash]
+		if !ok {
+			break
+		}
+		j.left -= p.Tokens
+		e.order.MoveToFront(element)
+	}
+	j.left = max(1, j.left)
+}
+
+// unread returns the jobs whose prompts are to be read, in the order of reading:
+// what has begun goes on, then the more urgent.
+func (e *engine) unread() []*Job {
+	var list []*Job
+	for _, j := range e.running {
+		if j.left > 0 {
+			list = append(list, j)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b *Job) int {
+		if a.begun != b.begun {
+			if a.begun {
+				return -1
+			}
+			return 1
+		}
+		return a.Class.Tier - b.Class.Tier
+	})
+	return list
+}
+
 // step performs one step and returns how long it takes, and the jobs that made
 // an event in it. The times are set by settle.
 func (e *engine) step() (time.Duration, []*Job) {
@@ -105,17 +134,22 @@
 	room := e.sheet.Chunk
 	var made []*Job
 	for _, j := range e.running {
-		if j.left == 0 {
-			j.made++
-			if j.made%e.sheet.Stride == 0 || j.made >= j.Output {
-				made = append(made, j)
-			}
+		if j.left > 0 {
 			continue
 		}
-		n := min(j.left, room)
-		if n == 0 {
-			continue
+		j.made++
+		if j.made%e.sheet.Stride == 0 || j.made >= j.Output {
+			made = append(made, j)
+		}
+	}
+	for _, j := range e.unread() {
+		if room == 0 {
+			break
 		}
+		if !j.begun {
+			e.begin(j)
+		}
+		n := min(j.left, room)
 		before := j.Prompt - j.left
 		room -= n
 		j.left -= n
--- a/emul/load.go
+++ b/emul/load.go
@@ -12,6 +12,8 @@
 // Class is a kind of request.
 type Class struct {
 	Name string
+	// Tier of urgency; 0 is read first.
+	Tier int
 	// Rate of arrivals, a second.
 	Rate          float64
 	Target, Pause time.Duration
@@ -23,8 +25,8 @@
 // Classes are long drafts, replies and quick questions.
 func Classes() []*Class {
 	return []*Class{
-		{Name: "draft", Rate: 13, Target: 2 * time.Second, Pause: 800 * time.Millisecond, Shared: 13300, Things: 70, Own: 3720, Output: 120},
-		{Name: "reply", Rate: 8, Target: 600 * time.Millisecond, Pause: 300 * time.Millisecond, Shared: 6300, Things: 60, Own: 2890, Output: 50},
+		{Name: "draft", Tier: 2, Rate: 13, Target: 2 * time.Second, Pause: 800 * time.Millisecond, Shared: 13300, Things: 70, Own: 3720, Output: 120},
+		{Name: "reply", Tier: 1, Rate: 8, Target: 600 * time.Millisecond, Pause: 300 * time.Millisecond, Shared: 6300, Things: 60, Own: 2890, Output: 50},
 		{Name: "quick", Rate: 22, Target: 300 * time.Millisecond, Pause: 200 * time.Millisecond, Shared: 350, Things: 100, Own: 1110, Output: 170},
 	}
 }
--- a/emul/run.go
+++ b/emul/run.go
@@ -141,7 +141,7 @@
 
 func (w *world) work(j *Job) *place.Work {
 	return &place.Work{
-		Parts: j.Parts, Prompt: j.Prompt, Output: j.Output, Target: j.Class.Target, Pause: j.Class.Pause,
+		Parts: j.Parts, Prompt: j.Prompt, Output: j.Output, Target: j.Class.Target, Pause: j.Class.Pause, Tier: j.Class.Tier,
 		Centre: "c", Engine: true, Memory: w.options.Sheet.Memory, Stride: w.options.Sheet.Stride, Started: j.Arrived,
 	}
 }
--- a/place/engine.go
+++ b/place/engine.go
@@ -3,7 +3,6 @@
 import (
 	"container/list"
 	"encoding/binary"
-	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -37,10 +36,18 @@
 	// together with others.
 	tokens int
 	parts  []Part
-	// read is when its prompt is expected to be read.
-	read time.Time
-	// end is when it is expected to end; told runs are dropped then.
-	end time.Time
+	tier   int
+	// prompt is its length, tokens.
+	prompt int
+	// left is the time to read the rest of its prompt, begun is set when some of it
+	// is expected to have been read, read is when that was expected to end.
+	left  time.Duration
+	begun bool
+	read  time.Time
+	// life is the time from then to its expected end, and end that time once its
+	// prompt is read; told runs are dropped then.
+	life time.Duration
+	end  time.Time
 	// told runs were sent by another entry.
 	told bool
 	// heard is when the last event came; zero before the first.
@@ -52,9 +59,14 @@
 
 // upstream is what is believed of one upstream.
 type upstream struct {
-	runs map[uint64]*run
-	// busy is when the prompts sent so far are expected to be read.
-	busy time.Time
+	service *service
+	runs    map[uint64]*run
+	// reads are the runs whose prompts are to be read, in the order of reading,
+	// as expected at the time advanced.
+	reads    []*run
+	advanced time.Time
+	// idle is when the last prompt so far was expected to have been read.
+	idle time.Time
 	// pressure is the smoothed share of time spent reading prompts.
 	pressure float64
 	pressed  time.Time
@@ -66,9 +78,7 @@
 	used   int
 	// memory of running requests and cached parts, tokens.
 	memory int
-	// excess is by how much first events came later than expected lately.
-	excess  time.Duration
-	excused time.Time
+	excess map[int]excess // By tier.
 	// reported is the load that the upstream last told, and when.
 	reported int
 	heard    time.Time
@@ -77,10 +87,10 @@
 	born  int64
 }
 
-func newUpstream(born int64) *upstream {
+func newUpstream(s *service, born int64) *upstream {
 	return &upstream{
 		runs: map[uint64]*run{}, parts: map[uint64]*list.Element{}, order: list.New(),
-		shared: map[uint64]int{}, born: born,
+		shared: map[uint64]int{}, excess: map[int]excess{}, service: s, born: born,
 	}
 }
 
@@ -102,6 +112,7 @@
 		return
 	}
 	delete(u.runs, id)
+	u.drop(r)
 	u.used -= r.tokens
 	for _, p := range r.parts {
 		if u.shared[p.Hash]--; u.shared[p.Hash] == 0 {
@@ -171,46 +182,14 @@
 
 // expire drops the told runs that should have ended by now.
 func (u *upstream) expire(now time.Time) {
+	u.advance(now)
 	for id, r := range u.runs {
-		if r.told && now.After(r.end) {
+		if r.told && r.left == 0 && now.After(r.end) {
 			u.leave(id)
 		}
 	}
 }
 
-// backlog is the time until the prompts sent so far are read: as predicted, and
-// what showed that the prediction was too short.
-func (u *upstream) backlog(now time.Time) time.Duration {
-	return max(0, u.busy.Sub(now)) + max(u.excessAt(now), u.overdue(now))
-}
-
-// excessLife is the time after which two thirds of the learnt excess are
-// forgotten.
-const excessLife = time.Second
-
-func (u *upstream) excessAt(now time.Time) time.Duration {
-	return time.Duration(float64(u.excess) * math.Exp(-float64(now.Sub(u.excused))/float64(excessLife)))
-}
-
-// learnExcess notes by how much a first event came later than expected.
-func (u *upstream) learnExcess(now time.Time, late time.Duration) {
-	old := u.excessAt(now)
-	u.excess = max(0, old+(late-old)/2)
-	u.excused = now
-}
-
-// overdue is how long the first event of a request of this entry has been
-// expected in vain.
-func (u *upstream) overdue(now time.Time) time.Duration {
-	longest := time.Duration(0)
-	for _, r := range u.runs {
-		if !r.told && r.pause > 0 && r.heard.IsZero() {
-			longest = max(longest, now.Sub(r.read))
-		}
-	}
-	return longest
-}
-
 // count is the number of requests there: what the entries know, or what the
 // upstream told lately if that is more.
 func (u *upstream) count(now time.Time) int {
--- a/place/memory.go
+++ b/place/memory.go
@@ -23,7 +23,7 @@
 		if u.order.Len() == 0 {
 			continue
 		}
-		memory := Memory{Backlog: max(0, u.busy.Sub(now))}
+		memory := Memory{Backlog: u.unread(now)}
 		for e := u.order.Front(); e != nil; e = e.Next() {
 			memory.Parts = append(memory.Parts, Part(e.Value.(cached)))
 		}
@@ -48,8 +48,8 @@
 			m.used[p.Hash] = now
 		}
 	}
-	if until := now.Add(backlog); until.After(u.busy) {
-		u.busy = until
+	if missing := backlog - u.unread(now); missing > 0 {
+		u.push(now, &run{left: missing})
 	}
 	u.evict()
 }
@@ -65,5 +65,5 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	have := m.upstream(u)
-	return Load{Running: have.count(now), Backlog: have.backlog(now)}
+	return Load{Running: have.count(now), Backlog: have.backlog(now, anyTier)}
 }
--- a/place/model.go
+++ b/place/model.go
@@ -51,10 +51,11 @@
 	Parts []Part
 	// Prompt and Output are tokens; Output is an estimate.
 	Prompt, Output int
-	// Target of the first event or of the answer, Pause between events.
-	Target, Pause time.Duration
-	Tier          int
-	Centre        string
+	// Target of the first event or of the answer, Pause between events, Limit of
+	// the whole answer; 0 means none.
+	Target, Pause, Limit time.Duration
+	Tier                 int
+	Centre               string
 	// Bytes of the request and about those of the answer.
 	Bytes int
 	// Engine says that a model engine runs it.
@@ -79,10 +80,27 @@
 	scale float64
 	// base is added to it: the time to the first token of a short prompt.
 	base time.Duration
-	step time.Duration
-	work time.Duration
+	// pace is the time that a second of reading takes behind other prompts, while
+	// tokens of running requests are made in between.
+	pace float64
+	// steps gives the milliseconds between two tokens of a request for the
+	// thousands of tokens that an engine's running requests hold.
+	steps line
+	work  time.Duration
+	// Numbers of observations that scale, base and pace were learnt from.
+	scales, bases, paces int
 }
 
+// gain is the weight of one more observation: large for the first ones, which
+// replace a guess.
+func gain(n *int) float64 {
+	*n++
+	return max(1/scaleWindow, 1/(float64(*n)+firstGuess))
+}
+
+// firstGuess is the number of observations that a guess is worth.
+const firstGuess = 4
+
 // Settings of the choice. The zero value of a field means its default.
 type Settings struct {
 	// Read is the price of a second of reading prompts, in late answers.
@@ -190,7 +208,7 @@
 func (m *Model) service(name string) *service {
 	s, ok := m.services[name]
 	if !ok {
-		s = &service{scale: 1, step: guessStep, work: guessWork}
+		s = &service{scale: 1, pace: 1, steps: newLine(guessStep.Seconds()*1000, firstGuess), work: guessWork}
 		m.services[name] = s
 	}
 	return s
@@ -199,7 +217,7 @@
 func (m *Model) upstream(u fleet.Upstream) *upstream {
 	have, ok := m.upstreams[u.ID]
 	if !ok || have.born != u.Born {
-		have = newUpstream(u.Born)
+		have = newUpstream(m.service(u.Service), u.Born)
 		m.upstreams[u.ID] = have
 	}
 	return have
@@ -212,6 +230,11 @@
 	m.mu.Unlock()
 }
 
+// step predicts the time between two tokens of a request at an upstream.
+func (s *service) step(u *upstream) time.Duration {
+	return time.Duration(s.steps.at(float64(u.used)/1000) * float64(time.Millisecond))
+}
+
 // readTime predicts how long an engine takes to read tokens that stand behind
 // others.
 func (s *service) readTime(tokens, before int) time.Duration {
@@ -227,6 +250,8 @@
 type Forecast struct {
 	// First is the expected time to the first event or the answer.
 	First time.Duration
+	// Last is the expected time to the end of a stream.
+	Last time.Duration
 	// Cached tokens of the prompt.
 	Cached int
 	// Backlog is the reading to be done there before.
@@ -249,10 +274,11 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.service(serviceName)
+	all := m.load(now, candidates, w)
 	var best Choice
 	found := false
 	for _, c := range candidates {
-		f := m.forecast(now, s, c, w)
+		f := m.forecast(now, s, c, w, all)
 		if !found || f.Cost < best.Forecast.Cost {
 			best, found = Choice{Upstream: c.Upstream, Forecast: f}, true
 		}
@@ -265,19 +291,51 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.service(serviceName)
+	all := m.load(now, candidates, w)
 	choices := make([]Choice, 0, len(candidates))
 	for _, c := range candidates {
-		choices = append(choices, Choice{Upstream: c.Upstream, Forecast: m.forecast(now, s, c, w)})
+		choices = append(choices, Choice{Upstream: c.Upstream, Forecast: m.forecast(now, s, c, w, all)})
 	}
 	return choices
 }
 
-func (m *Model) forecast(now time.Time, s *service, c fleet.Candidate, w *Work) Forecast {
+// load is what a choice knows of all candidates together.
+type load struct {
+	// read is the price of a second of reading, in late answers.
+	read float64
+	// pressure is the mean share of time spent reading prompts.
+	pressure float64
+}
+
+// load returns the load of the candidates. The more prompts wait to be read, the
+// more requests does each second of reading delay.
+func (m *Model) load(now time.Time, candidates []fleet.Candidate, w *Work) load {
+	l := load{read: m.settings.Read}
+	if !w.Engine || len(candidates) == 0 {
+		return l
+	}
+	unread := time.Duration(0)
+	for _, c := range candidates {
+		u := m.upstream(c.Upstream)
+		u.expire(now)
+		unread += u.unread(now)
+		l.pressure += u.pressureAt(now)
+	}
+	l.read *= 1 + unread.Seconds()/float64(len(candidates))/fullBacklog.Seconds()
+	l.pressure /= float64(len(candidates))
+	return l
+}
+
+// fullBacklog is the mean backlog at which a second of reading costs twice as
+// much as on idle engines (docs/MEASUREMENTS.md: 0.2 s and none were worse).
+const fullBacklog = 500 * time.Millisecond
+
+func (m *Model) forecast(now time.Time, s *service, c fleet.Candidate, w *Work, all load) Forecast {
 	u := m.upstream(c.Upstream)
 	u.expire(now)
 	var f Forecast
 	if w.Engine {
-		f = s.forecastEngine(now, u, c, w, m.settings)
+		f = s.forecastEngine(now, u, c, w, m.settings, all)
 		f.Cost += m.settings.Again * float64(m.readAgain(now, u, w.Parts)) / 1000
 		f.Cost += homeCost * homeDistance(w.Parts, c.ID)
 	} else {
@@ -308,6 +366,11 @@
 	// failureCost is the harm of an answer that fails: its caller has nothing, where
 	// one that is late still has the answer.
 	failureCost = 5.0
+	// lostCost is the harm of a stream that is not whole when its caller's time is
+	// up, beyond that of a late one, and limitWidth the uncertainty of its end, as
+	// a share of the time.
+	lostCost   = 2.0
+	limitWidth = 0.15
 	// silenceCost is the harm expected of an engine for each second beyond
 	// silenceAfter that a first event is overdue: it may be dark, not busy.
 	silenceCost  = 2.0
@@ -325,28 +388,31 @@
 	return Forecast{First: first, Running: n}
 }
 
-func (s *service) forecastEngine(now time.Time, u *upstream, c fleet.Candidate, w *Work, price Settings) Forecast {
+func (s *service) forecastEngine(now time.Time, u *upstream, c fleet.Candidate, w *Work, price Settings, all load) Forecast {
 	total := w.Prompt
 	have := min(total, u.cachedTokens(w.Parts))
 	read := s.readTime(total-have, have)
-	backlog := u.backlog(now)
+	backlog := u.backlog(now, w.Tier)
 	n := u.count(now)
 	full := max(0, n+1-c.Slots)
 	f := Forecast{Cached: have, Backlog: backlog, Running: n}
-	f.First = backlog + read + s.base + s.step + time.Duration(full)*s.step*usualOutput/time.Duration(max(1, c.Slots))
+	step := s.step(u)
+	f.First = backlog + read + s.base + step + time.Duration(full)*step*usualOutput/time.Duration(max(1, c.Slots))
 	f.Cost = lateness(now.Sub(w.Started)+f.First, w.Target, firstWidth*w.Target.Seconds()+backlogWidth*backlog.Seconds())
 	part := f.First.Seconds() / max(minTarget.Seconds(), w.Target.Seconds())
 	f.Cost += price.Wait * min(worstPart, part*part)
-	f.Cost += price.Read * read.Seconds()
+	f.Cost += all.read * read.Seconds()
 	f.Cost += fullCost * float64(full)
-	f.Cost += min(failureCost, silenceCost*max(0, u.overdue(now)-silenceAfter).Seconds())
+	f.Cost += min(failureCost, silenceCost*max(0, u.overdue(now, anyTier)-silenceAfter).Seconds())
 	if over := u.used + u.need(w) - int(memoryFull*float64(w.Memory)); over > 0 && w.Memory > 0 {
 		// It waits till others have left, or pushes one of them out.
 		f.First += time.Duration(float64(over) / float64(w.Memory) * float64(memoryTurn))
 		f.Cost += overCost * float64(over) / float64(w.Memory)
 	}
-	f.Cost += s.harm(u, w, backlog, read)
-	f.Cost += s.ownPause(u, w, now)
+	f.Last = f.First + s.streamTime(u, w, now)
+	f.Cost += lostCost * lateness(now.Sub(w.Started)+f.Last, w.Limit, limitWidth*w.Limit.Seconds())
+	f.Cost += s.harm(u, w, u.unread(now), read)
+	f.Cost += s.ownPause(u, w, now, all)
 	f.Cost += crowdCost * float64(n) / float64(max(1, c.Slots))
 	return f
 }
@@ -355,26 +421,36 @@
 // tokens of all a little.
 const crowdCost = 0.05
 
+// streamTime predicts how long a stream lasts, on an engine that reads prompts
+// for a share of the time.
+func (s *service) streamTime(u *upstream, w *Work, now time.Time) time.Duration {
+	events := float64(w.output()) / float64(max(1, w.Stride))
+	idle := time.Duration(max(1, w.Stride)) * s.step(u)
+	gap := float64(idle) + min(1, u.pressureAt(now))*float64(s.loadedGap(u, w.Stride, usualBefore)-idle)
+	return time.Duration(events * gap)
+}
+
 // loadedGap predicts the time between two events while prompts are read all the
-// time.
-func (s *service) loadedGap(stride int) time.Duration {
-	return time.Duration(max(1, stride)) * (s.step + s.readTime(chunkTokens, usualBefore))
+// time, whose chunks stand behind a number of tokens.
+func (s *service) loadedGap(u *upstream, stride, before int) time.Duration {
+	return time.Duration(max(1, stride)) * (s.step(u) + s.readTime(chunkTokens, before))
 }
 
 // gapDuring predicts the longest time between two events while prompts are read
 // for a time.
-func (s *service) gapDuring(stride int, reading time.Duration) time.Duration {
-	return min(time.Duration(max(1, stride))*s.step+reading, s.loadedGap(stride))
+func (s *service) gapDuring(u *upstream, stride, before int, reading time.Duration) time.Duration {
+	return min(time.Duration(max(1, stride))*s.step(u)+reading, s.loadedGap(u, stride, before))
 }
 
 // harm is the number of running requests whose pauses become too long if the
 // prompt is read there too.
-func (s *service) harm(u *upstream, w *Work, backlog, read time.Duration) float64 {
+func (s *service) harm(u *upstream, w *Work, unread, read time.Duration) float64 {
 	if read == 0 {
 		return 0
 	}
-	was := s.gapDuring(w.Stride, backlog)
-	is := s.gapDuring(w.Stride, backlog+read)
+	longest := u.longestRead()
+	was := s.gapDuring(u, w.Stride, longest, unread)
+	is := s.gapDuring(u, w.Stride, max(longest, w.Prompt), unread+read)
 	sum := 0.0
 	for _, r := range u.runs {
 		if r.pause > 0 {
@@ -385,14 +461,28 @@
 }
 
 // ownPause is the chance that the request's own pauses become too long, as the
-// upstream reads prompts for a share of the time.
-func (s *service) ownPause(u *upstream, w *Work, now time.Time) float64 {
+// upstream reads prompts for a share of the time. Prompts will come here as they
+// come elsewhere, unless those that run here keep them away.
+func (s *service) ownPause(u *upstream, w *Work, now time.Time, all load) float64 {
 	if w.Pause == 0 {
 		return 0
 	}
-	return lateness(s.loadedGap(w.Stride), w.Pause, pauseWidth*w.Pause.Seconds()) * min(1, u.pressureAt(now))
+	gap := s.loadedGap(u, w.Stride, max(usualBefore, u.longestRead()))
+	guarded := 0.0
+	for _, r := range u.runs {
+		if r.pause > 0 {
+			guarded += lateness(gap, r.pause, pauseWidth*r.pause.Seconds())
+		}
+	}
+	reading := max(u.pressureAt(now), all.pressure*math.Exp(-guarded/guardingRuns))
+	return lateness(gap, w.Pause, pauseWidth*w.Pause.Seconds()) * min(1, reading)
 }
 
+// guardingRuns is the number of requests with short pauses that keep two thirds
+// of the prompts away from an engine: each adds one late answer to their cost
+// (docs/MEASUREMENTS.md: 1.5 and 6 were no better).
+const guardingRuns = 3.0
+
 // usualBefore is the number of tokens that stand before a usual chunk.
 const usualBefore = 16000
 
--- a/place/ticket.go
+++ b/place/ticket.go
@@ -18,12 +18,12 @@
 	// clean sends had nothing to wait for, so their time teaches.
 	clean     bool
 	predicted time.Duration
-	// expected is the time to the first event as far as the sends known then tell.
-	expected time.Duration
-	engine   bool
-	first    time.Time
-	last     time.Time
-	stride   int
+	// ahead is the reading that stood before the first event at the send.
+	ahead  time.Duration
+	engine bool
+	first  time.Time
+	last   time.Time
+	stride int
 }
 
 // Start records that a request is sent to an upstream.
@@ -34,9 +34,10 @@
 	s := m.service(serviceName)
 	u := m.upstream(to)
 	t := &Ticket{model: m, service: s, at: u, id: m.sequence, started: now, engine: w.Engine, stride: max(1, w.Stride)}
-	t.clean = u.backlog(now) <= cleanBacklog && u.count(now) < to.Slots
+	t.clean = u.backlog(now, anyTier) <= cleanBacklog && u.count(now) < to.Slots
+	t.ahead = u.unread(now)
 	t.run, t.predicted = m.add(now, s, u, w)
-	t.expected = t.run.read.Sub(now) + s.base + s.step
+	t.ahead += t.predicted
 	u.enter(t.id, t.run)
 	u.after++
 	return t
@@ -51,11 +52,6 @@
 	u.memory = w.Memory
 	have := min(w.Prompt, u.cachedTokens(w.Parts))
 	read := s.readTime(w.Prompt-have, have)
-	begin := now
-	if u.busy.After(now) {
-		begin = u.busy
-	}
-	u.busy = begin.Add(read)
 	u.pressure = u.pressureAt(now) + read.Seconds()/pressureLife.Seconds()
 	u.pressed = now
 	output := w.output()
@@ -65,8 +61,11 @@
 	for _, p := range w.Parts {
 		r.tokens -= p.Tokens
 	}
-	r.read = u.busy
-	r.end = u.busy.Add(time.Duration(toldMargin * float64(time.Duration(output)*s.step)))
+	r.tier = w.Tier
+	r.prompt = w.Prompt
+	r.left = read
+	r.life = time.Duration(toldMargin * float64(time.Duration(output)*s.step(u)))
+	u.push(now, r)
 	u.touch(w.Parts)
 	m.use(now, w.Parts)
 	return r, read
@@ -128,34 +127,47 @@
 		s.work += time.Duration(float64(took-s.work) / scaleWindow)
 		return
 	}
-	t.at.learnExcess(now, took-t.expected)
+	late := time.Duration(0)
+	t.at.advance(now)
+	if t.run.left > 0 {
+		s.learnPace(-t.run.left, t.ahead)
+		t.at.drop(t.run)
+		t.at.finishRead(t.run, now)
+	} else {
+		late = now.Sub(t.run.read) - s.base - s.step(t.at)
+		if !t.clean {
+			s.learnPace(late, t.ahead)
+		}
+	}
+	t.at.learnExcess(now, t.run.tier, late)
 	if !t.clean {
 		return
 	}
 	if t.predicted < shortRead {
-		s.base += time.Duration(float64(max(0, took-t.predicted-s.step)-s.base) / scaleWindow)
+		s.base += time.Duration(float64(max(0, took-t.predicted-s.step(t.at))-s.base) * gain(&s.bases))
 		return
 	}
-	ratio := float64(took-s.base-s.step) / float64(t.predicted)
+	ratio := float64(took-s.base-s.step(t.at)) / float64(t.predicted)
 	if ratio <= 0 {
 		return
 	}
-	s.scale *= math.Pow(min(maxScale, max(minScale, ratio)), 1/scaleWindow)
+	s.scale *= math.Pow(min(maxScale, max(minScale, ratio)), gain(&s.scales))
 }
 
 // shortRead separates the sends that teach the fixed part of the time to the
 // first token from those that teach the part that grows with the prompt.
 const shortRead = 25 * time.Millisecond
 
-// learnStep learns the time for a token from short gaps between events: longer
-// ones had prompts read in between.
+// learnStep learns the time for a token from gaps between events in which no
+// prompt was read, as far as is known.
 func (t *Ticket) learnStep(now time.Time) {
+	u := t.at
+	u.advance(now)
 	step := now.Sub(t.last) / time.Duration(t.stride)
-	s := t.service
-	if step <= 0 || step > 3*s.step {
+	if step <= 0 || step > 3*t.service.step(u) || len(u.reads) > 0 || t.last.Before(u.idle) {
 		return
 	}
-	s.step += time.Duration(float64(step-s.step) / (4 * scaleWindow))
+	t.service.steps.add(float64(u.used)/1000, step.Seconds()*1000)
 }
 
 // Finish records that the request has left the upstream.
@@ -165,12 +177,9 @@
 	if t.run == nil {
 		return
 	}
+	t.at.advance(now)
 	t.at.leave(t.id)
 	t.at.after--
-	// A request that left before its prompt was read leaves no reading behind.
-	if t.engine && t.first.IsZero() && t.run.read.After(now) {
-		t.at.busy = t.at.busy.Add(-min(t.predicted, t.run.read.Sub(now)))
-	}
 	t.run = nil
 }
 
@@ -187,5 +196,5 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.service(name)
-	return Learnt{Scale: s.scale, Base: s.base, Step: s.step, Work: s.work}
+	return Learnt{Scale: s.scale, Base: s.base, Step: time.Duration(s.steps.at(0) * float64(time.Millisecond)), Work: s.work}
 }
