Refuse the least urgent at once where their first event would come too late

Cause: with more work than the engines can do nothing was refused; prompts of streams that could not be whole in time were read all the same and delayed those of others. Change: a request whose first event is forecast after 0.35 of its caller's time is answered 503 before it is sent, with the time when there will be room, if no less urgent kind was sent within 5 s by any entry. Streams are expected to last as long as the share of reading of the last 10 s makes their tokens.

--- a/direct/forward.go
+++ b/direct/forward.go
@@ -61,6 +61,12 @@
 			e.giveUp(w, q, a, http.StatusServiceUnavailable, reasonUpstream)
 			return
 		}
+		if f := choice.Forecast; q.sends == 0 && e.model.MayRefuse(now, q.service.Name, &q.work, f) {
+			q.log.With("request", q.ask.ID).With("first", f.First.Milliseconds()).With("backlog", f.Backlog.Milliseconds()).
+				With("limit", q.work.Limit.Milliseconds()).Infof("refused before it was sent")
+			e.answer(w, q, http.StatusServiceUnavailable, reasonBusy, max(q.comeBack(reasonBusy), q.work.RoomAfter(f)))
+			return
+		}
 		if q.sends > 0 && !e.budget.Take(now, q.service.Name, e.entries()) {
 			q.log.With("request", q.ask.ID).Infof("not repeated: the budget is spent")
 			e.giveUp(w, q, a, http.StatusServiceUnavailable, reasonUpstream)
@@ -88,7 +94,7 @@
 	q.expected = f.First
 	q.log.With("request", q.ask.ID).With("upstream", choice.Upstream.ID).With("version", q.version).
 		With("revision", choice.Upstream.Revision).With("candidates", len(candidates)).
-		With("first", f.First.Milliseconds()).With("cached", f.Cached).With("backlog", f.Backlog.Milliseconds()).
+		With("first", f.First.Milliseconds()).With("cached", f.Cached).With("backlog", f.Backlog.Milliseconds()).With("last", f.Last.Milliseconds()).
 		With("running", f.Running).With("tier", q.tier).With("cost", strconv.FormatFloat(f.Cost, 'f', 3, 64)).Infof("sending")
 	return choice, true
 }
@@ -199,7 +205,7 @@
 			q.sends++
 			e.noteSilence(now, q, to, q.arrived)
 		}
-		e.logEnd(q, 0, "the caller left", nil)
+		e.logEnd(q, 0, outcomeLeft, nil)
 		return true
 	}
 	if f.away {
--- a/direct/handle.go
+++ b/direct/handle.go
@@ -57,12 +57,19 @@
 	reasonMemory   = "too many bodies in progress"
 	reasonUpstream = "no upstream"
 	reasonFull     = "upstreams are full"
+	reasonBusy     = "no room in time"
 	reasonBroken   = "the upstream broke off"
 	reasonTimeout  = "time is up"
 	reasonStopping = "this entry is stopping"
 	reasonCrash    = "the request crashed upstreams"
 )
 
+// Outcomes that are no answers of our own.
+const (
+	outcomeStreamed = "streamed"
+	outcomeLeft     = "the caller left"
+)
+
 // handle is the callers' end: bind, check, forward, write.
 func (e *Entry) handle(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
@@ -143,6 +150,7 @@
 		Pause:   q.route.Pause,
 		Limit:   wait,
 		Tier:    q.tier,
+		Level:   q.route.Tier,
 		Centre:  e.settings.Load().Centre,
 		Bytes:   len(q.body) + usualAnswer,
 		Started: q.arrived,
@@ -247,7 +255,7 @@
 	switch reason {
 	case reasonUnready:
 		after = unreadyAfter
-	case reasonUpstream, reasonFull, reasonMemory:
+	case reasonUpstream, reasonFull, reasonBusy, reasonMemory:
 		after = fullAfter
 	}
 	if q.ask.Limited {
--- a/direct/pass.go
+++ b/direct/pass.go
@@ -155,7 +155,7 @@
 		}
 		if err != nil {
 			x.drop()
-			e.logEnd(q, http.StatusOK, "the caller left", err)
+			e.logEnd(q, http.StatusOK, outcomeLeft, err)
 			panic(http.ErrAbortHandler)
 		}
 	}
@@ -180,7 +180,7 @@
 	}
 	x.finish()
 	e.record(time.Now(), x.to, false)
-	e.logEnd(q, http.StatusOK, "streamed", nil)
+	e.logEnd(q, http.StatusOK, outcomeStreamed, nil)
 	return true
 }
 
@@ -196,7 +196,7 @@
 			since = q.arrived
 		}
 		e.noteSilence(now, q, x.to, since)
-		e.logEnd(q, 0, "the caller left", nil)
+		e.logEnd(q, 0, outcomeLeft, nil)
 		panic(http.ErrAbortHandler)
 	}
 	if isTimeout(err) && !now.Before(q.deadline) {
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -106,7 +106,7 @@
 		return
 	}
 	w := &place.Work{
-		Prompt: int(s.GetPrompt()), Output: int(s.GetOutput()), Tier: int(s.GetTier()),
+		Prompt: int(s.GetPrompt()), Output: int(s.GetOutput()), Tier: int(s.GetTier()), Level: int(s.GetLevel()),
 		Pause: time.Duration(s.GetPause()) * time.Millisecond,
 	}
 	for i, h := range s.GetHashes() {
@@ -129,6 +129,7 @@
 		Output:   uint32(q.work.Output),
 		Pause:    uint32(q.work.Pause.Milliseconds()),
 		Tier:     uint32(q.work.Tier),
+		Level:    uint32(q.work.Level),
 	}
 	for _, p := range q.work.Parts {
 		s.Hashes = append(s.Hashes, p.Hash)
--- a/emul/emul_test.go
+++ b/emul/emul_test.go
@@ -85,3 +85,24 @@
 		}
 	}
 }
+
+// TestRefusals: with more work than the engines can do, more of the least urgent
+// are whole before their callers leave where those without a chance are refused,
+// and no fewer are on time. With less work none is refused.
+func TestRefusals(t *testing.T) {
+	// noise is the share by which a run may differ by chance.
+	const noise = 0.01
+	for seed := uint64(1); seed <= 4; seed++ {
+		over := Defaults(PatternOver, seed)
+		model, accept := Run(over, PolicyModel), Run(over, PolicyAccept)
+		if got, want := model.Whole["draft"], accept.Whole["draft"]; got <= want {
+			t.Errorf("seed %d: got %.3f of the drafts whole, want more than the %.3f without refusals", seed, got, want)
+		}
+		if got, want := model.All, accept.All-noise; got < want {
+			t.Errorf("seed %d: got %.3f on time, want at least the %.3f without refusals", seed, got, accept.All)
+		}
+		if got := Run(Defaults(PatternCalm, seed), PolicyModel).Refused; got != 0 {
+			t.Errorf("seed %d: got %d refusals in calm, want none", seed, got)
+		}
+	}
+}
--- a/emul/engine.go
+++ b/emul/engine.go
@@ -48,6 +48,7 @@
 
 	left   int  // Prompt tokens to be read.
 	begun  bool // Some of the prompt was read.
+	back   bool // It was refused once.
 	made   int
 	last   time.Time
 	ticket *place.Ticket
@@ -55,9 +56,12 @@
 
 // OnTime reports whether the job met its class's targets.
 func (j *Job) OnTime() bool {
-	return j.Done && j.First <= j.Class.Target && j.Pause <= j.Class.Pause
+	return j.IsWhole() && j.First <= j.Class.Target && j.Pause <= j.Class.Pause
 }
 
+// IsWhole reports whether the job ended before its caller left.
+func (j *Job) IsWhole() bool { return j.Done && j.last.Sub(j.Arrived) <= j.Class.Limit }
+
 // engine is one emulated engine.
 type engine struct {
 	sheet   Sheet
--- a/emul/load.go
+++ b/emul/load.go
@@ -17,6 +17,8 @@
 	// Rate of arrivals, a second.
 	Rate          float64
 	Target, Pause time.Duration
+	// Limit is how long callers wait for the whole.
+	Limit time.Duration
 	// Shared tokens of a prompt, of which there are Things; Own tokens besides.
 	Shared, Things, Own int
 	Output              int
@@ -25,9 +27,9 @@
 // Classes are long drafts, replies and quick questions.
 func Classes() []*Class {
 	return []*Class{
-		{Name: "draft", Tier: 2, Rate: 13, Target: 2 * time.Second, Pause: 800 * time.Millisecond, Shared: 13300, Things: 70, Own: 3720, Output: 120},
-		{Name: "reply", Tier: 1, Rate: 8, Target: 600 * time.Millisecond, Pause: 300 * time.Millisecond, Shared: 6300, Things: 60, Own: 2890, Output: 50},
-		{Name: "quick", Rate: 22, Target: 300 * time.Millisecond, Pause: 200 * time.Millisecond, Shared: 350, Things: 100, Own: 1110, Output: 170},
+		{Name: "draft", Tier: 2, Rate: 13, Target: 2 * time.Second, Limit: 10 * time.Second, Pause: 800 * time.Millisecond, Shared: 13300, Things: 70, Own: 3720, Output: 120},
+		{Name: "reply", Tier: 1, Rate: 8, Target: 600 * time.Millisecond, Limit: 6 * time.Second, Pause: 300 * time.Millisecond, Shared: 6300, Things: 60, Own: 2890, Output: 50},
+		{Name: "quick", Rate: 22, Target: 300 * time.Millisecond, Limit: 12 * time.Second, Pause: 200 * time.Millisecond, Shared: 350, Things: 100, Own: 1110, Output: 170},
 	}
 }
 
@@ -43,11 +45,12 @@
 	PatternCrash Pattern = "a quarter of the engines crash"
 	PatternJoin  Pattern = "empty engines join"
 	PatternBlind Pattern = "an entry does not hear the others"
+	PatternOver  Pattern = "more than the engines can do"
 )
 
 // Patterns lists all.
 func Patterns() []Pattern {
-	return []Pattern{PatternCalm, PatternLong, PatternQuick, PatternHot, PatternCrash, PatternJoin, PatternBlind}
+	return []Pattern{PatternCalm, PatternLong, PatternQuick, PatternHot, PatternCrash, PatternJoin, PatternBlind, PatternOver}
 }
 
 // Options of a run.
@@ -71,6 +74,8 @@
 func (o *Options) rate(c *Class, at time.Duration) float64 {
 	inside := at > o.Length/4 && at < o.Length*3/4
 	switch {
+	case o.Pattern == PatternOver && at > o.Length/10:
+		return 3 * c.Rate
 	case o.Pattern == PatternLong && c.Name == "draft" && inside:
 		return 2.2 * c.Rate
 	case o.Pattern == PatternQuick && c.Name == "quick" && inside:
--- a/emul/run.go
+++ b/emul/run.go
@@ -25,6 +25,8 @@
 	PolicyHash Policy = "hash"
 	// PolicyModel is the product's.
 	PolicyModel Policy = "model"
+	// PolicyAccept is the same, but refuses nothing.
+	PolicyAccept Policy = "accept"
 )
 
 // Policies lists all.
@@ -73,6 +75,8 @@
 	own    [][]int
 	jobs   []*Job
 	lost   int
+	// refused counts refusals.
+	refused int
 }
 
 // Run plays a load with a policy.
@@ -141,7 +145,8 @@
 
 func (w *world) work(j *Job) *place.Work {
 	return &place.Work{
-		Parts: j.Parts, Prompt: j.Prompt, Output: j.Output, Target: j.Class.Target, Pause: j.Class.Pause, Tier: j.Class.Tier,
+		Parts: j.Parts, Prompt: j.Prompt, Output: j.Output, Target: j.Class.Target, Pause: j.Class.Pause, Tier: j.Class.Tier, Level: j.Class.Tier,
+		Limit:  j.Class.Limit,
 		Centre: "c", Engine: true, Memory: w.options.Sheet.Memory, Stride: w.options.Sheet.Stride, Started: j.Arrived,
 	}
 }
@@ -155,7 +160,11 @@
 	case PolicyHash:
 		to = w.hash(j, candidates)
 	default:
-		to = w.model(j, candidates)
+		choice := w.model(j, candidates)
+		if choice == nil {
+			return
+		}
+		to = *choice
 	}
 	var i int
 	_, _ = fmt.Sscanf(to.ID, "e-%d", &i) // The id was made by candidates.
@@ -205,9 +214,19 @@
 	return best
 }
 
-func (w *world) model(j *Job, candidates []fleet.Candidate) fleet.Upstream {
+// model returns the engine that the product chooses, or nil if it refuses. Who is
+// refused comes back once.
+func (w *world) model(j *Job, candidates []fleet.Candidate) *fleet.Upstream {
 	work := w.work(j)
 	choice, _ := w.models[j.Entry].Choose(w.now, serviceName, candidates, work)
+	if w.policy == PolicyModel && w.models[j.Entry].MayRefuse(w.now, serviceName, work, choice.Forecast) {
+		w.refused++
+		if !j.back {
+			j.back = true
+			w.at(w.now.Add(work.RoomAfter(choice.Forecast)), func() { w.arrive(j) })
+		}
+		return nil
+	}
 	j.ticket = w.models[j.Entry].Start(w.now, serviceName, choice.Upstream, work)
 	w.seq++
 	key := uint64(w.seq)
@@ -217,7 +236,7 @@
 		ticket.Finish(w.now)
 		w.tell(j.Entry, func(m *place.Model) { m.Ended(key) })
 	})
-	return choice.Upstream
+	return &choice.Upstream
 }
 
 // watch calls ended when the job is done.
@@ -272,17 +291,24 @@
 	// OnTime is the share of jobs on time by class, All over all.
 	OnTime map[string]float64
 	All    float64
+	// Whole is the share of jobs by class that ended before their callers left.
+	Whole map[string]float64
 	// First holds the times to the first event by class, in order.
 	First map[string][]time.Duration
 	// Again is the number of shared tokens read once more, in thousands.
 	Again int
+	// Refused is the number of refusals.
+	Refused int
 }
 
 func (w *world) result() *Result {
-	r := &Result{OnTime: map[string]float64{}, First: map[string][]time.Duration{}}
-	total, good := map[string]int{}, map[string]int{}
+	r := &Result{OnTime: map[string]float64{}, Whole: map[string]float64{}, First: map[string][]time.Duration{}}
+	total, good, whole := map[string]int{}, map[string]int{}, map[string]int{}
 	for _, j := range w.jobs {
 		total[j.Class.Name]++
+		if j.IsWhole() {
+			whole[j.Class.Name]++
+		}
 		if j.OnTime() {
 			good[j.Class.Name]++
 			r.All++
@@ -290,8 +316,10 @@
 		r.First[j.Class.Name] = append(r.First[j.Class.Name], j.First)
 	}
 	r.All /= float64(max(1, len(w.jobs)))
+	r.Refused = w.refused
 	for name, n := range total {
 		r.OnTime[name] = float64(good[name]) / float64(n)
+		r.Whole[name] = float64(whole[name]) / float64(n)
 		slices.Sort(r.First[name])
 	}
 	for _, e := range w.engines {
--- a/place/engine.go
+++ b/place/engine.go
@@ -67,12 +67,11 @@
 	advanced time.Time
 	// idle is when the last prompt so far was expected to have been read.
 	idle time.Time
-	// pressure is the smoothed share of time spent reading prompts.
-	pressure float64
-	pressed  time.Time
-	parts    map[uint64]*list.Element
-	order    *list.List // Of cached; the least recently used is at the back.
-	held     int
+	// pressure and usual are shares of time spent reading prompts.
+	pressure, usual share
+	parts           map[uint64]*list.Element
+	order           *list.List // Of cached; the least recently used is at the back.
+	held            int
 	// shared counts the runs that hold a part; used is the memory that cannot yield.
 	shared map[uint64]int
 	used   int
@@ -91,6 +90,7 @@
 	return &upstream{
 		runs: map[uint64]*run{}, parts: map[uint64]*list.Element{}, order: list.New(),
 		shared: map[uint64]int{}, excess: map[int]excess{}, service: s, born: born,
+		pressure: share{life: pressureLife}, usual: share{life: usualLife},
 	}
 }
 
--- a/place/model.go
+++ b/place/model.go
@@ -31,8 +31,10 @@
 const (
 	// reportLife is how long an upstream's own word on its load is believed.
 	reportLife = 300 * time.Millisecond
-	// pressureLife is the time over which the share of reading is smoothed.
+	// pressureLife is the time over which the share of reading is smoothed, and
+	// usualLife that for forecasts as long as a stream lasts.
 	pressureLife = 2 * time.Second
+	usualLife    = 10 * time.Second
 	// scaleWindow is the number of observations that a learnt value is smoothed over.
 	scaleWindow = 40.0
 	// minScale and maxScale bound what one observation may teach.
@@ -54,8 +56,10 @@
 	// Target of the first event or of the answer, Pause between events, Limit of
 	// the whole answer; 0 means none.
 	Target, Pause, Limit time.Duration
-	Tier                 int
-	Centre               string
+	// Tier is the urgency at the upstream, Level that of the kind of request alone,
+	// whoever asks; 0 is most urgent.
+	Tier, Level int
+	Centre      string
 	// Bytes of the request and about those of the answer.
 	Bytes int
 	// Engine says that a model engine runs it.
@@ -140,6 +144,8 @@
 	sequence  uint64
 	// told holds the runs of other entries.
 	told map[uint64]*upstream
+	// sent is when requests of each level were last sent, by service.
+	sent map[string]map[int]time.Time
 	// used is when a part was last used anywhere.
 	used   map[uint64]time.Time
 	pruned time.Time
@@ -164,7 +170,7 @@
 	}
 	return &Model{
 		settings: s, upstreams: map[string]*upstream{}, services: map[string]*service{},
-		told: map[uint64]*upstream{}, used: map[uint64]time.Time{},
+		told: map[uint64]*upstream{}, sent: map[string]map[int]time.Time{}, used: map[uint64]time.Time{},
 	}
 }
 
@@ -303,8 +309,9 @@
 type load struct {
 	// read is the price of a second of reading, in late answers.
 	read float64
-	// pressure is the mean share of time spent reading prompts.
-	pressure float64
+	// pressure is the mean share of time spent reading prompts lately, usual that
+	// over a longer time.
+	pressure, usual float64
 }
 
 // load returns the load of the candidates. The more prompts wait to be read, the
@@ -319,10 +326,12 @@
 		u := m.upstream(c.Upstream)
 		u.expire(now)
 		unread += u.unread(now)
-		l.pressure += u.pressureAt(now)
+		l.pressure += u.pressure.at(now)
+		l.usual += u.usual.at(now)
 	}
 	l.read *= 1 + unread.Seconds()/float64(len(candidates))/fullBacklog.Seconds()
 	l.pressure /= float64(len(candidates))
+	l.usual /= float64(len(candidates))
 	return l
 }
 
@@ -352,163 +361,24 @@
 	return f
 }
 
-const (
-	// worstPart bounds the price of waiting, and minTarget what it is divided by.
-	worstPart = 1.0
-	minTarget = 50 * time.Millisecond
-	// memoryFull is the share of an engine's memory above which requests wait: the
-	// lengths of outputs are estimates.
-	memoryFull = 0.75
-	// memoryTurn is the time in which an engine's running requests change once.
-	memoryTurn = 4 * time.Second
-	// overCost is the harm of an engine whose memory is asked for twice.
-	overCost = 60.0
-	// failureCost is the harm of an answer that fails: its caller has nothing, where
-	// one that is late still has the answer.
-	failureCost = 5.0
-	// lostCost is the harm of a stream that is not whole when its caller's time is
-	// up, beyond that of a late one, and limitWidth the uncertainty of its end, as
-	// a share of the time.
-	lostCost   = 2.0
-	limitWidth = 0.15
-	// silenceCost is the harm expected of an engine for each second beyond
-	// silenceAfter that a first event is overdue: it may be dark, not busy.
-	silenceCost  = 2.0
-	silenceAfter = time.Second
-	// bannedCost puts upstreams that seem away behind all others.
-	bannedCost = 100.0
-	// fullCost is the harm of waiting behind a full engine, for each request ahead.
-	fullCost = 0.05
-)
-
-func (s *service) forecastPlain(now time.Time, u *upstream, c fleet.Candidate) Forecast {
-	n := u.count(now)
-	wait := float64(max(0, n+1-c.Slots)) / float64(max(1, c.Slots))
-	first := s.work + time.Duration(wait*float64(s.work)) + time.Duration(float64(n)/float64(max(1, c.Slots))*float64(time.Millisecond))
-	return Forecast{First: first, Running: n}
-}
-
-func (s *service) forecastEngine(now time.Time, u *upstream, c fleet.Candidate, w *Work, price Settings, all load) Forecast {
-	total := w.Prompt
-	have := min(total, u.cachedTokens(w.Parts))
-	read := s.readTime(total-have, have)
-	backlog := u.backlog(now, w.Tier)
-	n := u.count(now)
-	full := max(0, n+1-c.Slots)
-	f := Forecast{Cached: have, Backlog: backlog, Running: n}
-	step := s.step(u)
-	f.First = backlog + read + s.base + step + time.Duration(full)*step*usualOutput/time.Duration(max(1, c.Slots))
-	f.Cost = lateness(now.Sub(w.Started)+f.First, w.Target, firstWidth*w.Target.Seconds()+backlogWidth*backlog.Seconds())
-	part := f.First.Seconds() / max(minTarget.Seconds(), w.Target.Seconds())
-	f.Cost += price.Wait * min(worstPart, part*part)
-	f.Cost += all.read * read.Seconds()
-	f.Cost += fullCost * float64(full)
-	f.Cost += min(failureCost, silenceCost*max(0, u.overdue(now, anyTier)-silenceAfter).Seconds())
-	if over := u.used + u.need(w) - int(memoryFull*float64(w.Memory)); over > 0 && w.Memory > 0 {
-		// It waits till others have left, or pushes one of them out.
-		f.First += time.Duration(float64(over) / float64(w.Memory) * float64(memoryTurn))
-		f.Cost += overCost * float64(over) / float64(w.Memory)
-	}
-	f.Last = f.First + s.streamTime(u, w, now)
-	f.Cost += lostCost * lateness(now.Sub(w.Started)+f.Last, w.Limit, limitWidth*w.Limit.Seconds())
-	f.Cost += s.harm(u, w, u.unread(now), read)
-	f.Cost += s.ownPause(u, w, now, all)
-	f.Cost += crowdCost * float64(n) / float64(max(1, c.Slots))
-	return f
-}
-
-// crowdCost prefers emptier engines among equals; each request more slows the
-// tokens of all a little.
-const crowdCost = 0.05
-
-// streamTime predicts how long a stream lasts, on an engine that reads prompts
-// for a share of the time.
-func (s *service) streamTime(u *upstream, w *Work, now time.Time) time.Duration {
-	events := float64(w.output()) / float64(max(1, w.Stride))
-	idle := time.Duration(max(1, w.Stride)) * s.step(u)
-	gap := float64(idle) + min(1, u.pressureAt(now))*float64(s.loadedGap(u, w.Stride, usualBefore)-idle)
-	return time.Duration(events * gap)
-}
-
-// loadedGap predicts the time between two events while prompts are read all the
-// time, whose chunks stand behind a number of tokens.
-func (s *service) loadedGap(u *upstream, stride, before int) time.Duration {
-	return time.Duration(max(1, stride)) * (s.step(u) + s.readTime(chunkTokens, before))
-}
-
-// gapDuring predicts the longest time between two events while prompts are read
-// for a time.
-func (s *service) gapDuring(u *upstream, stride, before int, reading time.Duration) time.Duration {
-	return min(time.Duration(max(1, stride))*s.step(u)+reading, s.loadedGap(u, stride, before))
-}
-
-// harm is the number of running requests whose pauses become too long if the
-// prompt is read there too.
-func (s *service) harm(u *upstream, w *Work, unread, read time.Duration) float64 {
-	if read == 0 {
-		return 0
-	}
-	longest := u.longestRead()
-	was := s.gapDuring(u, w.Stride, longest, unread)
-	is := s.gapDuring(u, w.Stride, max(longest, w.Prompt), unread+read)
-	sum := 0.0
-	for _, r := range u.runs {
-		if r.pause > 0 {
-			sum += lateness(is, r.pause, pauseWidth*r.pause.Seconds()) - lateness(was, r.pause, pauseWidth*r.pause.Seconds())
-		}
-	}
-	return sum
-}
-
-// ownPause is the chance that the request's own pauses become too long, as the
-// upstream reads prompts for a share of the time. Prompts will come here as they
-// come elsewhere, unless those that run here keep them away.
-func (s *service) ownPause(u *upstream, w *Work, now time.Time, all load) float64 {
-	if w.Pause == 0 {
-		return 0
-	}
-	gap := s.loadedGap(u, w.Stride, max(usualBefore, u.longestRead()))
-	guarded := 0.0
-	for _, r := range u.runs {
-		if r.pause > 0 {
-			guarded += lateness(gap, r.pause, pauseWidth*r.pause.Seconds())
-		}
-	}
-	reading := max(u.pressureAt(now), all.pressure*math.Exp(-guarded/guardingRuns))
-	return lateness(gap, w.Pause, pauseWidth*w.Pause.Seconds()) * min(1, reading)
+// share is a smoothed share of time.
+type share struct {
+	life  time.Duration
+	value float64
+	when  time.Time
 }
 
-// guardingRuns is the number of requests with short pauses that keep two thirds
-// of the prompts away from an engine: each adds one late answer to their cost
-// (docs/MEASUREMENTS.md: 1.5 and 6 were no better).
-const guardingRuns = 3.0
-
-// usualBefore is the number of tokens that stand before a usual chunk.
-const usualBefore = 16000
-
-// pressureAt is the share of time spent reading, decayed until now.
-func (u *upstream) pressureAt(now time.Time) float64 {
-	return u.pressure * math.Exp(-float64(now.Sub(u.pressed))/float64(pressureLife))
+// at returns the share, decayed until now.
+func (s *share) at(now time.Time) float64 {
+	return s.value * math.Exp(-float64(now.Sub(s.when))/float64(s.life))
 }
 
-// lateness is the probability that something expected to take d takes longer
-// than limit: a logistic curve whose width is the uncertainty, in seconds.
-func lateness(d, limit time.Duration, width float64) float64 {
-	if limit <= 0 {
-		return 0
-	}
-	return 1 / (1 + math.Exp(-(d-limit).Seconds()/width))
+// add counts a time spent.
+func (s *share) add(now time.Time, spent time.Duration) {
+	s.value = s.at(now) + spent.Seconds()/s.life.Seconds()
+	s.when = now
 }
 
-// Uncertainties of forecasts.
-const (
-	// firstWidth is a share of the target, backlogWidth one of the backlog.
-	firstWidth   = 0.12
-	backlogWidth = 0.3
-	// pauseWidth is a share of the longest pause.
-	pauseWidth = 0.1
-)
-
 // homeCost makes entries that know nothing of each other agree on where parts
 // go, among upstreams that are equal otherwise.
 const homeCost = 0.02
--- a/place/ticket.go
+++ b/place/ticket.go
@@ -31,6 +31,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.sequence++
+	m.noteSent(now, serviceName, w.Level)
 	s := m.service(serviceName)
 	u := m.upstream(to)
 	t := &Ticket{model: m, service: s, at: u, id: m.sequence, started: now, engine: w.Engine, stride: max(1, w.Stride)}
@@ -52,8 +53,8 @@
 	u.memory = w.Memory
 	have := min(w.Prompt, u.cachedTokens(w.Parts))
 	read := s.readTime(w.Prompt-have, have)
-	u.pressure = u.pressureAt(now) + read.Seconds()/pressureLife.Seconds()
-	u.pressed = now
+	u.pressure.add(now, read)
+	u.usual.add(now, read)
 	output := w.output()
 	r.pause = w.Pause
 	r.parts = w.Parts
@@ -76,6 +77,7 @@
 func (m *Model) Told(now time.Time, key uint64, to fleet.Upstream, w *Work) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.noteSent(now, to.Service, w.Level)
 	u := m.upstream(to)
 	r, _ := m.add(now, m.service(to.Service), u, w)
 	r.told = true
