Keep the configuration's time for a head; test slow and cut ends

A minute stays as the outermost bound. Ruled out: the server's own limit (it cannot change while it runs). Seen: TestSlowHead fails without the check (an answer after 4.5 s where 3 s are allowed) and passes with it; a slow body and an idle connection are let be. TestCutAtEachByte (resets and ends after each byte of an answer with a length and a chunked one) and TestSlowReader pass, with the race detector, twice; they found nothing.

--- /dev/null
+++ b/direct/edge_test.go
@@ -0,0 +1,202 @@
+package direct_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"cactustide/direct"
+)
+
+// TestSlowHead: a head that takes longer than the configuration allows ends its
+// connection; an idle one, and a body that takes as long, do not.
+func TestSlowHead(t *testing.T) {
+	s := newStack(t, 1)
+	head := func(id string) string {
+		return fmt.Sprintf("POST /book/a HTTP/1.1\r\nHost: %s\r\nCactustide-Request-Id: %s\r\nAuthorization: Bearer %s\r\nContent-Length: 2\r\n", testHost, id, testKey)
+	}
+	// The stand-in's configuration allows 3 s for a head.
+	const pause = 4500 * time.Millisecond
+	for name, c := range map[string]struct {
+		first, rest string
+		want        bool
+	}{
+		"slow head":       {first: head("slow-head"), rest: "\r\nab", want: false},
+		"slow body":       {first: head("slow-body") + "\r\na", rest: "b", want: true},
+		"idle, then fast": {rest: head("late-head") + "\r\nab", want: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			conn, err := net.Dial("tcp", s.entries[0].settings.Listen)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+			if _, err := io.WriteString(conn, c.first); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(pause)
+			_, _ = io.WriteString(conn, c.rest) // The connection may be closed; the answer tells.
+			if err := conn.SetReadDeadline(time.Now().Add(3 * time.Second)); err != nil {
+				t.Fatal(err)
+			}
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if got := err == nil; got != c.want {
+				t.Errorf("got an answer %v (%v), want %v", got, err, c.want)
+			}
+			if err == nil {
+				_ = resp.Body.Close()
+			}
+		})
+	}
+}
+
+// TestSlowReader: a caller who reads slowly gets the whole answer, and others do
+// not wait for it.
+func TestSlowReader(t *testing.T) {
+	s := newStack(t, 1)
+	e := s.entries[0]
+	conn, err := net.Dial("tcp", e.settings.Listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if err := conn.(*net.TCPConn).SetReadBuffer(1024); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := fmt.Fprintf(conn, "GET /draft/slow HTTP/1.1\r\nHost: %s\r\nCactustide-Request-Id: slow-reader\r\n"+
+		"Authorization: Bearer %s\r\nCactustide-Model: m\r\nCactustide-Token-Usage: 100,20\r\nCactustide-Prompt-Prefix: aa:60,bb:40\r\n\r\n", testHost, testKey); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReaderSize(conn, 16), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got strings.Builder
+	for b := make([]byte, 8); ; time.Sleep(time.Millisecond) {
+		n, err := resp.Body.Read(b)
+		got.Write(b[:n])
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			t.Fatalf("got %q, then %v", got.String(), err)
+		}
+		if other := s.send(context.Background(), e, ask{path: "/read/a", key: testKey}); other.status != http.StatusOK {
+			t.Fatalf("got status %d for another caller meanwhile, want 200", other.status)
+		}
+	}
+	if want := s.wholeStream("slow-reader"); got.String() != want {
+		t.Errorf("got stream %q, want %q", got.String(), want)
+	}
+}
+
+// cutter is an upstream that sends the first bytes of an answer and then ends or
+// resets the connection.
+type cutter struct {
+	listener net.Listener
+	answer   string
+	reset    bool
+	// bytes is how many it sends.
+	bytes atomic.Int64
+}
+
+// serve answers one request on each connection.
+func (c *cutter) serve() {
+	for {
+		conn, err := c.listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer func() { _ = conn.Close() }()
+			q, err := http.ReadRequest(bufio.NewReader(conn))
+			if err != nil {
+				return
+			}
+			answer := strings.ReplaceAll(c.answer, "ID", q.Header.Get("Cactustide-Request-Id"))
+			_, _ = io.WriteString(conn, answer[:c.bytes.Load()]) // The entry may be gone.
+			if c.reset {
+				time.Sleep(time.Millisecond)         // The bytes before a reset arrive.
+				_ = conn.(*net.TCPConn).SetLinger(0) // Close sends a reset then.
+			}
+		}()
+	}
+}
+
+// TestCutAtEachByte: whichever byte of an upstream's answer is the last before a
+// reset or an end, a caller never sees a part of it as a whole success.
+func TestCutAtEachByte(t *testing.T) {
+	const (
+		body = "hello world"
+		head = "HTTP/1.1 200 OK\r\nCactustide-Request-Id: ID\r\nCactustide-Response-Signature: s\r\n"
+		last = "0\r\n\r\n"
+		// idGrows is by how much an id is longer than its place in the answer.
+		idGrows = 6
+	)
+	for name, c := range map[string]struct {
+		answer string
+		// least is the number of bytes from the end that a whole answer may lack.
+		lacks int
+	}{
+		"length":  {answer: head + "Content-Length: 11\r\n\r\n" + body},
+		"chunked": {answer: head + "Transfer-Encoding: chunked\r\n\r\n6\r\nhello \r\n5\r\nworld\r\n" + last, lacks: len(last) - 1},
+	} {
+		for _, reset := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s reset=%v", name, reset), func(t *testing.T) {
+				t.Parallel()
+				s := newStack(t, 1)
+				u := s.newCutter(c.answer, reset)
+				length := len(c.answer) + idGrows
+				for n := 0; n <= length; n++ {
+					u.bytes.Store(int64(n))
+					got := s.send(context.Background(), s.entries[0], ask{path: "/book/a", key: testKey, body: strconv.Itoa(n)})
+					whole := got.status == http.StatusOK && got.err == nil
+					if whole && (got.body != body || n < length-c.lacks) {
+						t.Errorf("%d of %d bytes: got a success with body %q", n, length, got.body)
+					}
+					if n == length && !whole {
+						t.Errorf("all bytes: got status %d, body %q, %v; want the whole answer", got.status, got.body, got.err)
+					}
+				}
+			})
+		}
+	}
+}
+
+// newCutter replaces the stack's upstreams.
+func (s *stack) newCutter(answer string, reset bool) *cutter {
+	s.t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { _ = listener.Close() })
+	u := &cutter{listener: listener, answer: answer, reset: reset}
+	go u.serve()
+	entry, err := json.Marshal(map[string]any{
+		"service": "desk", "address": listener.Addr().String(), "zone": "zone-a", "version": "v1",
+		"slots": 4, "state": "ready", "cold-remaining-ms": 0, "seq": 1, "born": 1,
+	})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.store.Put("servers/cutter", entry)
+	for _, r := range s.replicas {
+		s.store.Delete(r.Key())
+	}
+	waitFor(s.t, "only the cutter known", func() bool {
+		_, text := s.get(s.t, s.entries[0], direct.PathStatus)
+		return strings.Contains(text, "cutter") && !strings.Contains(text, s.replicas[0].ID) && !strings.Contains(text, s.replicas[1].ID)
+	})
+	return u
+}
--- a/direct/entry.go
+++ b/direct/entry.go
@@ -28,9 +28,9 @@
 )
 
 const (
-	// headerLimit bounds the time to read a request's head. The configuration's own
-	// limit may change while the server runs, and callers stay below it.
-	headerLimit = 10 * time.Second
+	// headerLimit bounds the time to read a request's head whatever the
+	// configuration says; its own limit, which may change, is kept by idleSet.
+	headerLimit = time.Minute
 	// headBytes bounds a request's head while no configuration is in force.
 	headBytes = 64 << 10
 	// settleTime is how long a stopping entry still takes new connections, so that
@@ -109,7 +109,7 @@
 		breaks:  retry.NewBreaks(),
 		dropped: func() int64 { return 0 },
 		bodies:  bodies{limit: int64(bodyShare * float64(s.Memory))},
-		idle:    idleSet{since: map[net.Conn]time.Time{}, limit: int(callerShare * float64(s.Sockets))},
+		idle:    idleSet{since: map[net.Conn]time.Time{}, heads: map[*callerConn]struct{}{}, limit: int(callerShare * float64(s.Sockets))},
 		hub:     relay.New(s.Name, s.Peer, s.Seeds, process, logger),
 		behind:  make([]lag, len(items.Prefixes)),
 	}
@@ -205,7 +205,7 @@
 			}
 		})
 	}
-	e.serving.Go(func() { e.logServe(e.callers.Serve(callers)) })
+	e.serving.Go(func() { e.logServe(e.callers.Serve(callerListener{callers})) })
 	e.serving.Go(func() { e.logServe(e.ready.Serve(ready)) })
 	return nil
 }
@@ -260,7 +260,7 @@
 				e.log.With("upstream", id).Infof("did not register again after the store's outage")
 			}
 			if t := e.rules.Get(); t != nil {
-				e.idle.sweep(now, t.Document.Limits.Idle)
+				e.idle.sweep(now, t.Document.Limits.Idle, t.Document.Limits.Head)
 			}
 		}
 	}
@@ -290,7 +290,7 @@
 	now := time.Now()
 	end := now.Add(limit - stopMargin)
 	e.stopping.Store(true)
-	e.idle.sweep(now, 0)
+	e.idle.sweep(now, 0, 0)
 	time.Sleep(min(settleTime, time.Until(end)))
 	e.refusing.Store(true)
 	for e.active.Load() > 0 && time.Now().Before(end) {
--- a/direct/idle.go
+++ b/direct/idle.go
@@ -12,11 +12,12 @@
 // connection stays open, as a factor. Callers reuse connections up to the limit.
 const idleMargin = 1.5
 
-// idleSet knows the callers' connections that carry no request. The HTTP
-// server's own limit cannot change while it runs.
+// idleSet knows the callers' connections that carry no request, or only a part of
+// a head. The HTTP server's own limits cannot change while it runs.
 type idleSet struct {
 	mu    sync.Mutex
 	since map[net.Conn]time.Time
+	heads map[*callerConn]struct{}
 	// longest is the largest limit seen so far, because callers may still go by it.
 	longest time.Duration
 	// open counts the connections; above limit new ones are closed unread, which
@@ -28,6 +29,14 @@
 func (s *idleSet) note(c net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if caller, ok := c.(*callerConn); ok {
+		caller.note(state)
+		if state == http.StateNew || state == http.StateIdle {
+			s.heads[caller] = struct{}{}
+		} else {
+			delete(s.heads, caller)
+		}
+	}
 	switch state {
 	case http.StateNew:
 		if s.open++; s.open > s.limit {
@@ -43,10 +52,16 @@
 	delete(s.since, c)
 }
 
-// sweep closes the connections that were idle for longer than the limit.
-func (s *idleSet) sweep(now time.Time, limit time.Duration) {
+// sweep closes the connections that were idle for longer than the limit, and
+// those on which a head has taken longer than its limit.
+func (s *idleSet) sweep(now time.Time, limit, head time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for c := range s.heads {
+		if c.isSlow(now, head) {
+			_ = c.Close() // No request was read from it.
+		}
+	}
 	if limit > 0 {
 		s.longest = max(s.longest, limit)
 		limit = time.Duration(idleMargin * float64(s.longest))
--- a/direct/idle_test.go
+++ b/direct/idle_test.go
@@ -9,7 +9,7 @@
 )
 
 func TestIdleSet(t *testing.T) {
-	s := &idleSet{since: map[net.Conn]time.Time{}, limit: 2}
+	s := &idleSet{since: map[net.Conn]time.Time{}, heads: map[*callerConn]struct{}{}, limit: 2}
 	pipe := func() (net.Conn, net.Conn) { return net.Pipe() }
 	closed := func(c net.Conn) bool {
 		_ = c.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
@@ -29,16 +29,16 @@
 	s.note(a, http.StateIdle)
 	s.note(b, http.StateActive)
 	limit := 10 * time.Second
-	s.sweep(time.Now().Add(12*time.Second), limit)
+	s.sweep(time.Now().Add(12*time.Second), limit, 0)
 	if closed(callerA) {
 		t.Error("got an idle connection closed within the margin, want it open")
 	}
 	// A shorter limit does not hold for callers who know the longer one.
-	s.sweep(time.Now().Add(12*time.Second), time.Second)
+	s.sweep(time.Now().Add(12*time.Second), time.Second, 0)
 	if closed(callerA) {
 		t.Error("got an idle connection closed by a shorter limit, want it open")
 	}
-	s.sweep(time.Now().Add(16*time.Second), limit)
+	s.sweep(time.Now().Add(16*time.Second), limit, 0)
 	if !closed(callerA) || closed(callerB) {
 		t.Error("got the idle connection open or the active one closed after the limit")
 	}
--- a/rules/document.go
+++ b/rules/document.go
@@ -81,7 +81,9 @@
 	// Header and Body are the largest sizes, bytes.
 	Header int64
 	Body   int64
-	// Idle is how long a connection may stay without a request.
+	// Head is how long a request's head may take, Idle how long a connection may
+	// stay without a request.
+	Head time.Duration
 	Idle time.Duration
 }
 
