--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 .DEFAULT_GOAL := help
 GO ?= go
 
-.PHONY: help build run smoke test fuzz spec soak heavy slopes capacity measure tables fmt lint generate clean
+.PHONY: help build run stack smoke test fuzz spec soak heavy slopes capacity measure tables fmt lint generate clean
 
 help: ## Lists the targets.
 	@awk -F':.*## ' '/^[a-z-]+:.*## /{printf "  %-10s %s\n", $$1, $$2}' $(MAKEFILE_LIST)
@@ -15,6 +15,9 @@
 run: build ## Runs stand-ins, two entries and their agents until Ctrl-C.
 	@scripts/run.sh
 
+stack: build ## Runs two entries that forward straight to upstreams, on stand-ins of the platform, until Ctrl-C.
+	@exec bin/lab stack
+
 smoke: build ## Runs everything on free ports, checks one request of each kind.
 	@scripts/smoke.sh
 
--- a/cmds/direct_test.go
+++ b/cmds/direct_test.go
@@ -8,6 +8,14 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"cactustide/platform"
+	"cactustide/platform/stand"
+	"cactustide/store"
+	"cactustide/wire"
 )
 
 func TestCheckDirect(t *testing.T) {
@@ -55,3 +63,67 @@
 		t.Errorf("got %d for an entry that is not there, want %d", got, ExitFailed)
 	}
 }
+
+// TestDifferences: what is in force is compared with what lies in the store.
+func TestDifferences(t *testing.T) {
+	route := func(name string) stand.Route {
+		return stand.Route{Host: "h.example", Prefix: "/" + name + "/", Kind: "idempotent", Service: "desk", Timeout: time.Second, Attempts: 2}
+	}
+	config := func(version uint64, routes ...stand.Route) []byte {
+		return stand.Config(version, routes, []string{"desk"}, map[string][]string{"team": {"secret"}})
+	}
+	change, err := platform.NewItems().Decode(store.Item{Key: "op/config", Value: config(1, route("old"))})
+	if err != nil {
+		t.Fatal(err)
+	}
+	reply, err := protojson.Marshal(&wire.RulesReply{Version: 1, Lines: change.Document.Lines()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/rules" {
+			_, _ = w.Write(reply)
+			return
+		}
+		_, _ = w.Write([]byte(`{"name":"e-1","ready":true,"version":"1"}`))
+	})}
+	go func() { _ = server.Serve(l) }()
+	defer func() { _ = server.Close() }()
+	s, err := stand.NewStore("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	for name, c := range map[string]struct {
+		stored []byte
+		code   int
+		want   []string
+	}{
+		"the same": {config(1, route("old")), ExitOK, []string{"version 1 in force, as in the store"}},
+		"a newer one": {
+			config(2, route("old"), route("new")), ExitFailed,
+			[]string{"version 1 in force, version 2 in the store", "+ route", "h.example/new/"},
+		},
+		"unreadable": {[]byte("x"), ExitFailed, []string{"read the store"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s.Put("op/config", c.stored)
+			var out bytes.Buffer
+			if got := Run([]string{"entries", "--admin", l.Addr().String(), "--store", s.Address}, &out, &out); got != c.code {
+				t.Errorf("got %d, want %d", got, c.code)
+			}
+			for _, want := range c.want {
+				if !strings.Contains(out.String(), want) {
+					t.Errorf("got %q, want %q in it", out.String(), want)
+				}
+			}
+			if strings.Contains(out.String(), "secret") {
+				t.Errorf("got %q, want no key in it", out.String())
+			}
+		})
+	}
+}
--- a/cmds/entries.go
+++ b/cmds/entries.go
@@ -2,14 +2,18 @@
 
 import (
 	"fmt"
+	"strings"
 	"text/tabwriter"
 	"time"
 
 	"github.com/valyala/fasthttp"
 	"github.com/zeebo/errs"
 	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
 
 	"cactustide/direct"
+	"cactustide/platform"
+	"cactustide/rules"
 	"cactustide/wire"
 )
 
@@ -20,12 +24,18 @@
 func newEntries() command {
 	parser := newSubcommand("entries", "prints what entries that forward straight to upstreams know, and where they differ")
 	var addresses []string
+	var storeAddress string
 	parser.StringSlice(&addresses, "a", "admin", "operators' address of an entry; may stand several times")
+	parser.String(&storeAddress, "s", "store", "address of the platform's store: prints where the configuration in force differs from it")
 	return command{parser: parser, run: func(s streams) int {
 		if len(addresses) == 0 {
 			return s.fail(&Error{Op: "entries", Kind: KindMissing, Err: errs.New("no entry is named; --admin 10.0.0.1:8229")}, ExitUsage)
 		}
-		return printEntries(s, addresses)
+		code := printEntries(s, addresses)
+		if storeAddress == "" {
+			return code
+		}
+		return max(code, printDifferences(s, addresses, storeAddress))
 	}}
 }
 
@@ -76,17 +86,72 @@
 	fmt.Fprintln(w)
 }
 
+// printDifferences compares the configuration in force at each entry with that
+// of the store.
+func printDifferences(s streams, addresses []string, storeAddress string) int {
+	stored, err := fetchStored(storeAddress)
+	if err != nil {
+		return s.fail(err, ExitFailed)
+	}
+	code := ExitOK
+	for _, address := range addresses {
+		inForce := &wire.RulesReply{}
+		if err := fetchAdmin(address, direct.PathRules, inForce); err != nil {
+			fmt.Fprintf(s.out, "%s: %v\n", address, err)
+			code = ExitFailed
+			continue
+		}
+		differences := diffLines(inForce.GetLines(), stored.Lines())
+		if len(differences) == 0 {
+			fmt.Fprintf(s.out, "%s: version %d in force, as in the store\n", address, inForce.GetVersion())
+			continue
+		}
+		code = ExitFailed
+		fmt.Fprintf(s.out, "%s: version %d in force, version %d in the store; - in force, + in the store\n%s\n",
+			address, inForce.GetVersion(), stored.Version, strings.Join(differences, "\n"))
+	}
+	return code
+}
+
+// fetchStored reads the configuration from the store.
+func fetchStored(address string) (*rules.Document, error) {
+	items := platform.NewItems()
+	client := platform.NewStore(address, func(string, bool) {})
+	for _, prefix := range items.Prefixes {
+		list, _, err := client.List(prefix, statusLimit)
+		if err != nil {
+			return nil, &Error{Op: "read the store", Kind: KindCall, Err: err}
+		}
+		for _, item := range list {
+			change, err := items.Decode(item)
+			if err != nil {
+				return nil, &Error{Op: "read the store", Kind: KindCall, Err: err}
+			}
+			if change.Document != nil {
+				return change.Document, nil
+			}
+		}
+	}
+	return nil, &Error{Op: "read the store", Kind: KindMissing, Err: errs.New("there is no configuration")}
+}
+
 func fetchStatus(address string) (*wire.EntryStatus, error) {
-	code, body, err := fasthttp.GetTimeout(nil, "http://"+address+direct.PathStatus, statusLimit)
+	status := &wire.EntryStatus{}
+	return status, fetchAdmin(address, direct.PathStatus, status)
+}
+
+// fetchAdmin reads a message from an entry's operators' end.
+func fetchAdmin(address, path string, into proto.Message) error {
+	op := "read " + path + " of " + address
+	code, body, err := fasthttp.GetTimeout(nil, "http://"+address+path, statusLimit)
 	if err != nil {
-		return nil, &Error{Op: "status of " + address, Kind: KindCall, Err: err}
+		return &Error{Op: op, Kind: KindCall, Err: err}
 	}
 	if code != fasthttp.StatusOK {
-		return nil, &Error{Op: "status of " + address, Kind: KindCall, Err: errs.New("status %d", code)}
+		return &Error{Op: op, Kind: KindCall, Err: errs.New("status %d", code)}
 	}
-	status := &wire.EntryStatus{}
-	if err := protojson.Unmarshal(body, status); err != nil {
-		return nil, &Error{Op: "status of " + address, Kind: KindCall, Err: err}
+	if err := protojson.Unmarshal(body, into); err != nil {
+		return &Error{Op: op, Kind: KindCall, Err: err}
 	}
-	return status, nil
+	return nil
 }
--- a/direct/admin.go
+++ b/direct/admin.go
@@ -19,6 +19,7 @@
 	PathMetrics = "/metrics"
 	PathStatus  = "/status"
 	PathExplain = "/explain"
+	PathRules   = "/rules"
 )
 
 // handleAdmin is the operators' end.
@@ -30,8 +31,10 @@
 		writeMessage(ctx, e.status(time.Now()))
 	case PathExplain:
 		e.handleExplain(ctx)
+	case PathRules:
+		e.handleRules(ctx)
 	default:
-		ctx.Error("no such path; "+PathMetrics+", "+PathStatus+" and "+PathExplain+" are there", http.StatusNotFound)
+		ctx.Error("no such path; "+PathMetrics+", "+PathStatus+", "+PathRules+" and "+PathExplain+" are there", http.StatusNotFound)
 	}
 }
 
@@ -86,6 +89,16 @@
 	return s
 }
 
+// handleRules tells the configuration in force.
+func (e *Entry) handleRules(ctx *fasthttp.RequestCtx) {
+	table := e.rules.Get()
+	if table == nil {
+		ctx.Error(reasonUnready, http.StatusServiceUnavailable)
+		return
+	}
+	writeMessage(ctx, &wire.RulesReply{Version: table.Document.Version, Lines: table.Document.Lines()})
+}
+
 // handleExplain tells how a request would be routed: host and path, and for
 // engines the tokens of the prompt and the ids and tokens of its shared parts.
 func (e *Entry) handleExplain(ctx *fasthttp.RequestCtx) {
--- a/labs/main.go
+++ b/labs/main.go
@@ -23,7 +23,7 @@
 	parser := flaggy.NewParser("lab")
 	parser.Description = "stand-ins and load for cactustide"
 	parser.ShowVersionWithVersionFlag = false
-	commands := []command{newKV(), newEngine(), newPlain(), newPorts(), newPolicy(), newHeavy(), newSoak(), newSlopes(), newCapacity(), newOverhead()}
+	commands := []command{newKV(), newEngine(), newPlain(), newPorts(), newPolicy(), newHeavy(), newStack(), newSoak(), newSlopes(), newCapacity(), newOverhead()}
 	for _, c := range commands {
 		parser.AttachSubcommand(c.parser, 1)
 	}
