--- a/soak/run.go
+++ b/soak/run.go
@@ -54,9 +54,10 @@
 	recoverTime = 12 * time.Second
 	// calmTime is how long a part must have been undisturbed for bounds in time.
 	calmTime = 3 * time.Second
-	// budgetRatio and budgetSlack bound the repeats in any budgetWindow.
+	// budgetRatio and budgetSlack bound the repeats in any budgetWindow; the slack is
+	// small, so that the budget is spent in a run.
 	budgetRatio  = 0.2
-	budgetSlack  = 56.0
+	budgetSlack  = 6.0
 	budgetWindow = 10 * time.Second
 	// streamEvents is the number of events of a stream.
 	streamEvents = 8
