Catch SIGHUP before anything else

Change: direct catches its signals before it reads the settings. The soak sends no SIGHUP within 50 ms of a start: before a program's first instruction nothing can be caught.

--- a/cmds/direct.go
+++ b/cmds/direct.go
@@ -25,6 +25,10 @@
 }
 
 func runDirect(s streams) int {
+	// First of all: the default actions would end the process without a word.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	stop := newSignals()
 	settings, err := platform.LoadSettings()
 	if err != nil {
 		return s.fail(err, ExitInvalid)
@@ -37,10 +41,6 @@
 	client := platform.NewStore(settings.Store, m.CountCall)
 	e := direct.New(settings, platform.NewWire(), platform.NewItems(), client, log, m)
 	e.CountDropped(queue.Dropped)
-	// The default action of SIGHUP would end the process.
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	stop := newSignals()
 	if err := e.Start(); err != nil {
 		return s.fail(err, ExitFailed)
 	}
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -71,6 +71,8 @@
 		cmd := p.cmd
 		r.after(s.For, func() { _ = cmd.Process.Signal(syscall.SIGCONT) })
 	case "hup":
+		// Nothing can catch a signal before a program's first instruction.
+		time.Sleep(firstInstruction - time.Since(p.started))
 		_ = p.cmd.Process.Signal(syscall.SIGHUP) // It may have ended already.
 	case "storereset":
 		r.disturb(s.Target, 0)
--- /dev/null
+++ b/tests/signal_test.go
@@ -0,0 +1,76 @@
+package tests
+
+import (
+	"bytes"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"cactustide/platform/stand"
+)
+
+// TestEarlyHangup: a SIGHUP that comes while a starting entry still reads its
+// settings does not end it (soak seed 3000).
+func TestEarlyHangup(t *testing.T) {
+	store, err := stand.NewStore("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(store.Close)
+	// The settings are a pipe, so that reading them takes as long as the test likes.
+	file := filepath.Join(t.TempDir(), "boot.json")
+	if err := syscall.Mkfifo(file, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var mu sync.Mutex
+	var out bytes.Buffer
+	cmd := exec.Command(binary, "direct")
+	cmd.Env = append(os.Environ(), stand.BootEnv+"="+file)
+	cmd.Stdout = &lockedWriter{buffer: &out, mu: &mu}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- cmd.Wait() }()
+	// Opening the pipe waits until the entry reads it.
+	pipe, err := os.OpenFile(file, os.O_WRONLY, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	boot := stand.Boot{
+		Name: "early", Zone: "z", IP: "127.0.0.31", Store: store.Address, Listen: 8545, Ready: 8548, Control: 8549,
+		InternalPort: 7020, Grace: 2 * time.Second, RetryRatio: 0.2, RetrySlack: 10, MemoryMB: 256, Descriptors: 1000,
+	}
+	if _, err := pipe.Write(boot.Encode()); err != nil {
+		t.Fatal(err)
+	}
+	if err := pipe.Close(); err != nil {
+		t.Fatal(err)
+	}
+	listens := func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return bytes.Contains(out.Bytes(), []byte("listening on"))
+	}
+	for end := time.Now().Add(5 * time.Second); !listens(); time.Sleep(10 * time.Millisecond) {
+		select {
+		case err := <-ended:
+			t.Fatalf("got the end %v, want an entry that listens", err)
+		default:
+		}
+		if time.Now().After(end) {
+			t.Fatal("not listening within 5 s")
+		}
+	}
+	if err := cmd.Process.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	<-ended
+}
