Soak: no SIGHUP to an entry that has not begun

Change: the soak sends SIGHUP to entries that listen. What a starting entry does with one is TestEarlyHangup's. Ruled out: the product (its log has no line of the new process; nothing can catch a signal before the first instruction; the trace shows stop, start, pause, hup in that order).

--- a/soak/fault.go
+++ b/soak/fault.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -71,9 +72,11 @@
 		cmd := p.cmd
 		r.after(s.For, func() { _ = cmd.Process.Signal(syscall.SIGCONT) })
 	case "hup":
-		// Nothing can catch a signal before a program's first instruction.
-		time.Sleep(firstInstruction - time.Since(p.started))
-		_ = p.cmd.Process.Signal(syscall.SIGHUP) // It may have ended already.
+		// Nothing can catch a signal before a program's first instruction, which may be
+		// late on a busy machine or in a paused process.
+		if p.hasBegun() {
+			_ = p.cmd.Process.Signal(syscall.SIGHUP) // It may have ended already.
+		}
 	case "storereset":
 		r.disturb(s.Target, 0)
 		p.store.resetAll()
@@ -88,6 +91,16 @@
 	}
 }
 
+// hasBegun reports whether the entry listens. A paused one still does.
+func (p *process) hasBegun() bool {
+	c, err := net.DialTimeout("tcp", fmt.Sprintf("%s:%d", p.ip, portReady), dialLimit)
+	if err != nil {
+		return false
+	}
+	_ = c.Close() // Nothing was sent.
+	return true
+}
+
 // end stops an entry, planned or not, and waits for its end.
 func (r *runner) end(p *process, planned bool) {
 	_ = p.cmd.Process.Signal(syscall.SIGCONT) // It may have ended already.
--- a/soak/run.go
+++ b/soak/run.go
@@ -50,9 +50,8 @@
 	// outerTime is how much longer it may take while the store or entries are
 	// disturbed.
 	outerTime = 5 * time.Second
-	// firstInstruction is how long a started program may take to its first own
-	// instruction, on a busy machine too.
-	firstInstruction = 50 * time.Millisecond
+	// dialLimit bounds the wait for a connection on this machine.
+	dialLimit = 500 * time.Millisecond
 	// recoverTime is how long after the last fault all works again.
 	recoverTime = 12 * time.Second
 	// calmTime is how long a part must have been undisturbed for bounds in time.
@@ -77,7 +76,6 @@
 	name, ip string
 	cmd      *exec.Cmd
 	done     chan struct{}
-	started  time.Time
 	store    *relay
 	boot     string
 }
@@ -241,7 +239,6 @@
 	if err := p.cmd.Start(); err != nil {
 		return err
 	}
-	p.started = time.Now()
 	done := make(chan struct{})
 	p.done = done
 	go func(cmd *exec.Cmd) {
