Count the hold of lapsed registrations from the store's return

Change: the hold ends 2 s after the store answered again, whenever the removal came. The return itself is noted, not only the last failure. Ruled out: late news (the entry heard of the removal 25 ms after it); the relay.

--- a/direct/follow.go
+++ b/direct/follow.go
@@ -97,6 +97,7 @@
 func (f *follower) note(now time.Time, err error) {
 	if err == nil {
 		if !f.down.IsZero() {
+			f.entry.fleet.NoteOutage(now)
 			f.log.Infof("the store answers again after %v", now.Sub(f.down).Round(time.Millisecond))
 		}
 		f.down, f.pause = time.Time{}, firstPause
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -10,8 +10,8 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// lapseHold is how long registrations that vanished around an outage of the
-// store are kept. Upstreams that live register again within that time.
+// lapseHold is how long after the store's return registrations that vanished
+// around an outage are kept. Upstreams that live register again within that time.
 const lapseHold = 2 * time.Second
 
 // outageMargin is how long after the store's return a removal still counts as
@@ -22,15 +22,15 @@
 	Upstream
 	hash   uint64
 	health health
-	// lapsed is when the registration vanished during an outage; zero if it stands.
-	lapsed time.Time
+	// lapsed is set when the registration vanished around an outage.
+	lapsed bool
 }
 
 // Registry holds the upstreams by id.
 type Registry struct {
 	mu      sync.RWMutex
 	members map[string]*member
-	// outage is when the store last failed to answer.
+	// outage is when the store last failed to answer, or answered again.
 	outage time.Time
 }
 
@@ -82,11 +82,11 @@
 		change = ChangeDrain
 	case !u.Draining && m.Draining:
 		change = ChangeReady
-	case !m.lapsed.IsZero():
+	case m.lapsed:
 		change = ChangeRenewed
 	}
 	m.Upstream = u
-	m.lapsed = time.Time{}
+	m.lapsed = false
 	return change
 }
 
@@ -96,11 +96,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	m, ok := r.members[id]
-	if !ok || !m.lapsed.IsZero() {
+	if !ok || m.lapsed {
 		return ChangeNone
 	}
 	if !m.Draining && !r.outage.IsZero() && now.Sub(r.outage) < outageMargin {
-		m.lapsed = now
+		m.lapsed = true
 		return ChangeLapsed
 	}
 	delete(r.members, id)
@@ -139,7 +139,7 @@
 	return ids
 }
 
-// NoteOutage records that the store failed to answer.
+// NoteOutage records that the store failed to answer, or answered again.
 func (r *Registry) NoteOutage(now time.Time) {
 	r.mu.Lock()
 	r.outage = now
@@ -156,7 +156,7 @@
 	}
 	var gone []string
 	for id, m := range r.members {
-		if !m.lapsed.IsZero() && now.Sub(m.lapsed) >= lapseHold {
+		if m.lapsed {
 			delete(r.members, id)
 			gone = append(gone, id)
 		}
@@ -208,7 +208,7 @@
 	defer r.mu.RUnlock()
 	list := make([]State, 0, len(r.members))
 	for _, m := range r.members {
-		list = append(list, State{Candidate: m.candidate(now), Lapsed: !m.lapsed.IsZero()})
+		list = append(list, State{Candidate: m.candidate(now), Lapsed: m.lapsed})
 	}
 	slices.SortFunc(list, func(a, b State) int { return cmp.Compare(a.ID, b.ID) })
 	return list
--- a/fleet/registry_test.go
+++ b/fleet/registry_test.go
@@ -90,6 +90,21 @@
 	}
 }
 
+// TestRemovedAfterOutage pattern: an upstream leaves for good shortly after an
+// outage. It is kept no longer than those that lapsed: the hold counts from the
+// store's return.
+func TestRemovedAfterOutage(t *testing.T) {
+	r := NewRegistry()
+	r.Put(up("left", nil))
+	r.NoteOutage(start)
+	if got := r.Remove(start.Add(1200*time.Millisecond), "left"); got != ChangeLapsed {
+		t.Errorf("got %q, want %q", got, ChangeLapsed)
+	}
+	if got := r.Expire(start.Add(lapseHold)); len(got) != 1 {
+		t.Errorf("got %v gone %v after the store's return, want the one that left", got, lapseHold)
+	}
+}
+
 func TestCandidates(t *testing.T) {
 	r := NewRegistry()
 	r.Put(up("a", nil))
