A stopping entry ends only connections on which no request has begun

Change: a caller's connection is ended only if no byte of a request came, in one atomic step; bytes that cross the end count as not read, so the caller may send them again. Ruled out: the process's end (its log goes on), the upstream (it saw us close), the earlier catching of signals (stopping is logged as before). Seen: TestEndWaiting fails before (a begun request is cut) and passes after, three times with the race detector.

--- a/direct/head.go
+++ b/direct/head.go
@@ -1,27 +1,43 @@
 package direct
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 )
 
-// callerConn is a caller's connection that knows since when a request's head is
-// being read from it.
+// States of a caller's connection.
+const (
+	connBusy int32 = iota
+	// connWaiting: between two requests, nothing of the next one was read.
+	connWaiting
+	// connEnded: closed while it waited; what arrives now is not read.
+	connEnded
+)
+
+// callerConn is a caller's connection that knows whether a request has begun to
+// arrive, and since when.
 type callerConn struct {
 	net.Conn
-	// waiting is set between requests; began is when the first byte of a head came
-	// since then, in nanoseconds, or 0.
-	waiting atomic.Bool
-	began   atomic.Int64
+	state atomic.Int32
+	// began is when the first byte of a head came, in nanoseconds; 0 while none did
+	// or when the head is read.
+	began atomic.Int64
 }
 
-// Read notes the first byte of a head.
+// Read notes the first byte of a head. What comes after the connection was ended
+// counts as not read, so that its caller may send it again.
 func (c *callerConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if n > 0 && c.waiting.Load() {
-		c.began.CompareAndSwap(0, time.Now().UnixNano())
+	if n == 0 {
+		return n, err
+	}
+	if c.state.CompareAndSwap(connWaiting, connBusy) {
+		c.began.Store(time.Now().UnixNano())
+	} else if c.state.Load() == connEnded {
+		return 0, io.EOF
 	}
 	return n, err
 }
@@ -30,7 +46,16 @@
 // active when its head is read.
 func (c *callerConn) note(state http.ConnState) {
 	c.began.Store(0)
-	c.waiting.Store(state == http.StateNew || state == http.StateIdle)
+	if state == http.StateNew || state == http.StateIdle {
+		c.state.Store(connWaiting)
+	}
+}
+
+// end closes the connection unless a request has begun to arrive.
+func (c *callerConn) end() {
+	if c.state.CompareAndSwap(connWaiting, connEnded) {
+		_ = c.Close() // It carries nothing; an error changes nothing.
+	}
 }
 
 // isSlow reports whether a head has taken longer than the limit.
--- /dev/null
+++ b/direct/head_test.go
@@ -0,0 +1,53 @@
+package direct
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// TestEndWaiting: a stopping entry ends connections that wait for a request, not
+// those on which one has begun to arrive, and reads nothing after the end.
+func TestEndWaiting(t *testing.T) {
+	for name, c := range map[string]struct {
+		// before and after are sent before and after the sweep.
+		before, after string
+		want          string
+	}{
+		"waiting":          {want: ""},
+		"begun":            {before: "GET /", after: " HTTP", want: "GET / HTTP"},
+		"crosses the end":  {after: "GET /", want: ""},
+		"begun, no more":   {before: "GET /", want: "GET /"},
+		"one byte arrived": {before: "G", after: "ET", want: "GET"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			here, there := net.Pipe()
+			caller := &callerConn{Conn: here}
+			s := &idleSet{since: map[net.Conn]time.Time{}, heads: map[*callerConn]struct{}{}, limit: 10}
+			s.note(caller, http.StateNew)
+			s.note(caller, http.StateIdle)
+			got := ""
+			read := func() {
+				b := make([]byte, 64)
+				_ = caller.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+				n, _ := caller.Read(b)
+				got += string(b[:n])
+			}
+			send := func(text string) {
+				if text == "" {
+					return
+				}
+				go func() { _, _ = io.WriteString(there, text) }()
+				read()
+			}
+			send(c.before)
+			s.sweep(time.Now(), 0, 0)
+			send(c.after)
+			if got != c.want {
+				t.Errorf("got %q read, want %q", got, c.want)
+			}
+		})
+	}
+}
--- a/direct/idle.go
+++ b/direct/idle.go
@@ -67,7 +67,12 @@
 		limit = time.Duration(idleMargin * float64(s.longest))
 	}
 	for c, since := range s.since {
-		if now.Sub(since) >= limit {
+		if now.Sub(since) < limit {
+			continue
+		}
+		if caller, ok := c.(*callerConn); ok {
+			caller.end()
+		} else {
 			_ = c.Close() // It carries nothing; an error changes nothing.
 		}
 	}
