direct: log the source and revision of each change, and the age of the copy

Ruled out: a line for each watch that returns nothing (volume). Evidence: TestAdmin failed without the metric and passes; direct, fleet and cmds pass. No decision changed.

--- a/direct/admin_test.go
+++ b/direct/admin_test.go
@@ -52,7 +52,8 @@
 	}
 	waitFor(t, "the counters", func() bool {
 		_, body := s.get(t, e, "/metrics")
-		return strings.Contains(body, "cactustide_requests") && strings.Contains(body, "cactustide_answer_bucket")
+		return strings.Contains(body, "cactustide_requests") && strings.Contains(body, "cactustide_answer_bucket") &&
+			strings.Contains(body, `cactustide_store_age{prefix="op_config"`)
 	})
 }
 
--- a/direct/entry.go
+++ b/direct/entry.go
@@ -259,6 +259,7 @@
 				e.logStatus(now)
 			}
 			e.pool.Sweep(now)
+			e.updateStoreAge(now)
 			for _, id := range e.fleet.Expire(now) {
 				e.balancer.Forget(id)
 				e.log.With("upstream", id).Infof("removed an upstream that did not register again after the store outage")
@@ -270,6 +271,15 @@
 	}
 }
 
+// updateStoreAge updates the metric of the time since the store last responded.
+func (e *Entry) updateStoreAge(now time.Time) {
+	for i, c := range e.itemCaches {
+		if lastResponse, _ := c.storeTimes(); !lastResponse.IsZero() {
+			e.scope.Tagged(map[string]string{"prefix": e.codec.Prefixes[i]}).Gauge("store_age").Update(now.Sub(lastResponse).Seconds())
+		}
+	}
+}
+
 // logStatus logs the latency estimates and the retry budget of each service.
 func (e *Entry) logStatus(now time.Time) {
 	t := e.rules.Get()
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -209,7 +209,7 @@
 		items = append(items, store.Item{Key: s.GetKey(), Value: s.GetValue(), Revision: s.GetRevision()})
 	}
 	logger.With("revision", reply.GetRevision()).Infof("fetched a snapshot of %d items from the peer", len(items))
-	e.replaceItems(time.Now(), prefix, items, reply.GetRevision())
+	e.replaceItems(time.Now(), prefix, sourcePeer, items, reply.GetRevision())
 }
 
 // cacheStateInterval is the shortest time between two fetches of cache state.
--- a/direct/watch.go
+++ b/direct/watch.go
@@ -19,15 +19,26 @@
 	maxBackoff = 500 * time.Millisecond
 )
 
+// source is the call by which a change reached the entry.
+type source string
+
+// Values of source.
+const (
+	sourceList  source = "list"
+	sourceWatch source = "watch"
+	sourcePeer  source = "peer"
+)
+
 // watchPrefix keeps the items under a prefix up to date until ctx ends.
 func (e *Entry) watchPrefix(ctx context.Context, prefix int) error {
 	w := prefixWatcher{entry: e, prefix: prefix, log: e.log.With("prefix", e.codec.Prefixes[prefix])}
 	for ctx.Err() == nil {
+		began := time.Now()
 		err := e.callWithContext(ctx, w.poll)
 		if ctx.Err() != nil {
 			return nil
 		}
-		w.recordResult(time.Now(), err)
+		w.recordResult(began, time.Now(), err)
 		if err == nil {
 			continue
 		}
@@ -72,7 +83,7 @@
 		if err != nil {
 			return err
 		}
-		e.replaceItems(time.Now(), w.prefix, items, revision)
+		e.replaceItems(time.Now(), w.prefix, sourceList, items, revision)
 		w.revision = revision
 		w.log.With("revision", revision).Infof("listed %d items", len(items))
 		return nil
@@ -95,7 +106,8 @@
 }
 
 // recordResult logs when the store stops or starts responding, and sets the backoff.
-func (w *prefixWatcher) recordResult(now time.Time, err error) {
+// began is when the call was made.
+func (w *prefixWatcher) recordResult(began, now time.Time, err error) {
 	if err == nil {
 		if !w.downSince.IsZero() {
 			w.entry.fleet.RecordOutage(now)
@@ -110,31 +122,31 @@
 	if w.downSince.IsZero() {
 		w.downSince = now
 		w.entry.itemCaches[w.prefix].setDownSince(now)
-		w.log.Warnf("store does not respond: %v", err)
+		w.log.With("revision", w.revision).With("waited", now.Sub(began).Milliseconds()).Warnf("store does not respond: %v", err)
 	}
 	w.backoff = min(maxBackoff, max(minBackoff, 2*w.backoff))
 }
 
 // replaceItems applies a full listing of a prefix at a revision.
-func (e *Entry) replaceItems(now time.Time, prefix int, items []store.Item, revision uint64) {
+func (e *Entry) replaceItems(now time.Time, prefix int, src source, items []store.Item, revision uint64) {
 	removed := e.itemCaches[prefix].replace(items, revision)
 	for _, item := range items {
-		e.handleItem(now, item)
+		e.handleItem(now, src, item)
 	}
 	for _, key := range removed {
-		e.handleItem(now, store.Item{Key: key, Revision: revision, Deleted: true})
+		e.handleItem(now, src, store.Item{Key: key, Revision: revision, Deleted: true})
 	}
 }
 
 // applyItem applies one change.
 func (e *Entry) applyItem(now time.Time, prefix int, item store.Item) {
 	if e.itemCaches[prefix].put(item) {
-		e.handleItem(now, item)
+		e.handleItem(now, sourceWatch, item)
 	}
 }
 
 // handleItem applies one item. One that cannot be decoded is ignored.
-func (e *Entry) handleItem(now time.Time, item store.Item) {
+func (e *Entry) handleItem(now time.Time, src source, item store.Item) {
 	c, err := e.codec.Decode(item)
 	if err != nil {
 		e.log.With("key", item.Key).With("revision", item.Revision).Warnf("cannot decode item; keeping the last valid one: %v", err)
@@ -142,33 +154,33 @@
 	}
 	switch {
 	case c.Document != nil:
-		e.applyConfig(c)
+		e.applyConfig(src, item.Revision, c)
 	case c.Upstream != nil:
-		e.handleUpstreamChange(c.Upstream.ID, e.fleet.Put(*c.Upstream))
+		e.handleUpstreamChange(src, item.Revision, c.Upstream.ID, e.fleet.Put(*c.Upstream))
 	case c.Removed != "":
-		e.handleUpstreamChange(c.Removed, e.fleet.Remove(now, c.Removed))
+		e.handleUpstreamChange(src, item.Revision, c.Removed, e.fleet.Remove(now, c.Removed))
 	}
 }
 
-func (e *Entry) applyConfig(c Change) {
+func (e *Entry) applyConfig(src source, revision uint64, c Change) {
 	if !e.rules.Adopt(c.Document) {
 		return
 	}
 	now := time.Now()
 	e.configTime.Store(&now)
 	e.scope.Gauge("version").Update(float64(c.Document.Version))
-	e.log.With("version", c.Document.Version).Infof("configuration in force: %d routes, %d services, %d teams",
+	e.log.With("version", c.Document.Version).With("source", string(src)).With("revision", revision).Infof("configuration in force: %d routes, %d services, %d teams",
 		len(c.Document.Routes), len(c.Document.Services), len(c.Document.Teams))
 }
 
-func (e *Entry) handleUpstreamChange(id string, change fleet.Change) {
+func (e *Entry) handleUpstreamChange(src source, revision uint64, id string, change fleet.Change) {
 	switch change {
 	case fleet.ChangeNone:
 		return
 	case fleet.ChangeRemoved:
 		e.balancer.Forget(id)
 	}
-	logger := e.log.With("upstream", id).With("change", string(change))
+	logger := e.log.With("upstream", id).With("change", string(change)).With("source", string(src)).With("event", revision)
 	if u, ok := e.fleet.Find(id); ok {
 		logger = logger.With("address", u.Address).With("revision", u.Revision).With("born", u.StartedAt)
 	}
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -197,32 +197,27 @@
 	return len(r.members)
 }
 
-// State is an upstream with its estimated health.
-type State struct {
-	Candidate
-	// Lapsed is set if the registration was removed around an outage of the store.
-	Lapsed bool
-}
-
 // States returns all upstreams, sorted by id.
-func (r *Registry) States(now time.Time) []State {
+func (r *Registry) States(now time.Time) []Candidate {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	list := make([]State, 0, len(r.members))
+	list := make([]Candidate, 0, len(r.members))
 	for _, m := range r.members {
-		list = append(list, State{Candidate: m.candidate(now), Lapsed: m.lapsed})
+		list = append(list, m.candidate(now))
 	}
-	slices.SortFunc(list, func(a, b State) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(list, func(a, b Candidate) int { return cmp.Compare(a.ID, b.ID) })
 	return list
 }
 
-// Candidate is an upstream that is eligible for a request.
+// Candidate is an upstream with its estimated health.
 type Candidate struct {
 	Upstream
 	// FailureRate is the estimated fraction of requests that fail there, from 0 to 1.
 	FailureRate float64
 	// Banned is set while the upstream is suspected to be unreachable.
 	Banned bool
+	// Lapsed is set if the registration was removed around an outage of the store.
+	Lapsed bool
 }
 
 // Candidates returns the upstreams of a service that accept new requests, banned
@@ -242,7 +237,7 @@
 }
 
 func (m *member) candidate(now time.Time) Candidate {
-	return Candidate{Upstream: m.Upstream, FailureRate: m.health.failureRate(now), Banned: now.Before(m.health.bannedUntil)}
+	return Candidate{Upstream: m.Upstream, FailureRate: m.health.failureRate(now), Banned: now.Before(m.health.bannedUntil), Lapsed: m.lapsed}
 }
 
 // decay scales the outcome counts down to now.
