direct: notice within 2 s that the store does not answer a watch (CONFIG)

What callers saw: 404 on a route whose version was acknowledged over 2 s before, and requests by the old route; at all entries of a small site. Cause: a watch that the store took before it fell silent is never answered. It waits 3 s and is given up after 3.7 s, but an entry counts as in touch 3 s after the store's return. The watches of all entries were answered by the same event and so expire together: no peer is ahead, gossip cannot help. While the store was away, each probe was such a long watch again. TestUnansweredWatch failed before (404 at both entries 3 s after the return) and passes. It was missed since the tests cut the wait to 100 ms. Now: a watch waits 1 s; while the store is away a probe waits 50 ms. Worst case after the return: 1.7 s and one backoff. Ruled out: a listing after each failure (the whole prefix for each entry); gossip alone (all entries are behind at once).

--- /dev/null
+++ b/direct/outage_test.go
@@ -0,0 +1,36 @@
+package direct_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"cactustide/platform/stand"
+)
+
+const (
+	// contactTime is the platform's contact-ms: an entry counts as in touch again
+	// that long after the store's return.
+	contactTime = 3 * time.Second
+	// drainTime is the platform's drain-ms.
+	drainTime = 2 * time.Second
+)
+
+// TestUnansweredWatch guards against serving an old configuration because a watch that
+// began before the store's return is never answered, at all entries at once.
+func TestUnansweredWatch(t *testing.T) {
+	s := newStackOf(t, stackOptions{entries: 2, fullWait: true})
+	s.store.SetFaults(stand.StoreFaults{NoResponse: true})
+	time.Sleep(50 * time.Millisecond) // All watches have met the fault.
+	returned := time.Now()
+	s.store.SetFaults(stand.StoreFaults{})
+	added := stand.Route{Host: testHost, Prefix: "/added/", Kind: "idempotent", Service: "desk", Timeout: time.Second, MaxAttempts: 2}
+	s.store.Put("op/config", testConfig(2, append([]stand.Route{added}, testRoutes...)))
+	time.Sleep(time.Until(returned.Add(contactTime)))
+	for i, e := range s.entries {
+		if got := s.send(context.Background(), e, callerRequest{path: "/added/a", key: testKey}).status; got != http.StatusOK {
+			t.Errorf("entry %d: got %d on the added route %v after the store's return, want 200", i, got, contactTime)
+		}
+	}
+}
--- a/direct/stack_test.go
+++ b/direct/stack_test.go
@@ -35,6 +35,14 @@
 	entries  []*testEntry
 	client   *http.Client
 	sequence atomic.Int64
+	options  stackOptions
+}
+
+type stackOptions struct {
+	entries int
+	// fullWait leaves the wait of watches as the entry sets it; else it is cut to
+	// 100 ms, so that a cut store is noticed soon.
+	fullWait bool
 }
 
 // testEntry is an entry whose calls to the store can be made to fail.
@@ -57,11 +65,16 @@
 	return stand.EncodeConfig(version, routes, []string{"desk"}, map[string][]string{"team-one": {testKey}})
 }
 
-// newStack starts a store, two replicas and a number of entries, and waits until the
-// entries are ready.
 func newStack(t *testing.T, entries int) *testStack {
 	t.Helper()
-	s := &testStack{t: t, client: &http.Client{Transport: &http.Transport{}}}
+	return newStackOf(t, stackOptions{entries: entries})
+}
+
+// newStackOf starts a store, two replicas and a number of entries, and waits until the
+// entries are ready.
+func newStackOf(t *testing.T, options stackOptions) *testStack {
+	t.Helper()
+	s := &testStack{t: t, client: &http.Client{Transport: &http.Transport{}}, options: options}
 	var err error
 	if s.store, err = stand.NewStore("127.0.0.1:0"); err != nil {
 		t.Fatal(err)
@@ -77,7 +90,7 @@
 		s.replicas = append(s.replicas, r)
 		s.store.Put(r.StoreKey(), r.Registration("ready"))
 	}
-	for i := range entries {
+	for i := range options.entries {
 		s.entries = append(s.entries, s.newEntry(i))
 	}
 	for _, e := range s.entries {
@@ -103,7 +116,7 @@
 	m := meter.New(settings.Name)
 	s.t.Cleanup(m.Close)
 	e := &testEntry{settings: settings}
-	client := e.cuttableStore(platform.NewStoreClient(s.store.Address, m.CountPlatformCall))
+	client := e.cuttableStore(platform.NewStoreClient(s.store.Address, m.CountPlatformCall), s.options.fullWait)
 	log := meter.NewLogger(testOutput(), "info", "json", "direct")
 	e.Entry = direct.New(settings, platform.NewHeaderCodec(), platform.NewItemCodec(), client, log, m)
 	if err := e.Start(); err != nil {
@@ -120,7 +133,7 @@
 var errCut = errs.New("store cut off by the test")
 
 // cuttableStore makes the calls to the store fail while storeCut is set.
-func (e *testEntry) cuttableStore(c *store.ListWatch) *store.ListWatch {
+func (e *testEntry) cuttableStore(c *store.ListWatch, fullWait bool) *store.ListWatch {
 	list, watch := c.List, c.Watch
 	c.List = func(prefix string, limit time.Duration) ([]store.Item, uint64, error) {
 		if e.storeCut.Load() {
@@ -132,7 +145,10 @@
 		if e.storeCut.Load() {
 			return store.Changes{}, errCut
 		}
-		changes, err := watch(prefix, after, min(wait, 100*time.Millisecond))
+		if !fullWait {
+			wait = min(wait, 100*time.Millisecond)
+		}
+		changes, err := watch(prefix, after, wait)
 		if e.storeCut.Load() {
 			return store.Changes{}, errCut
 		}
--- a/direct/watch.go
+++ b/direct/watch.go
@@ -10,8 +10,13 @@
 )
 
 const (
-	// watchTimeout is how long a watch waits for a change.
-	watchTimeout = 3 * time.Second
+	// watchTimeout is how long a watch waits for a change. A call that the store took
+	// before an outage may never be answered; the entry notices only after this time
+	// and the client's margin, which must stay well below the time after which an
+	// entry is expected to be up to date again.
+	watchTimeout = time.Second
+	// probeTimeout is how long a watch waits while the store does not respond.
+	probeTimeout = 50 * time.Millisecond
 	// listTimeout bounds a listing; the store responds in milliseconds.
 	listTimeout = 800 * time.Millisecond
 	// minBackoff and maxBackoff bound the exponential delay between failed calls.
@@ -88,7 +93,11 @@
 		w.log.With("revision", revision).Infof("listed %d items", len(items))
 		return nil
 	}
-	changes, err := e.store.Watch(prefix, w.revision, watchTimeout)
+	wait := watchTimeout
+	if !w.downSince.IsZero() {
+		wait = probeTimeout
+	}
+	changes, err := e.store.Watch(prefix, w.revision, wait)
 	if err != nil {
 		return err
 	}
