fleet: end the grace period of a lapsed registration at its time (DRAIN)

What callers and upstreams saw: requests up to 0.25 s beyond 2 s after an upstream's registration had been removed. Cause: a lapsed upstream stayed a candidate until the next pass of Expire, which runs every 250 ms. TestLapseEnds failed before (1 candidate 2 s after the recovery, want 0). Now: Candidates leaves it out from that time; Expire only cleans up. Ruled out: a shorter interval of the pass, which keeps the fault smaller.

--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -227,7 +227,7 @@
 	defer r.mu.RUnlock()
 	var list []Candidate
 	for _, m := range r.members {
-		if m.Service != service || m.Draining {
+		if m.Service != service || m.Draining || m.lapsed && now.Sub(r.lastOutage) >= lapsedGracePeriod {
 			continue
 		}
 		list = append(list, m.candidate(now))
--- a/fleet/registry_test.go
+++ b/fleet/registry_test.go
@@ -160,3 +160,17 @@
 		t.Errorf("got a failure rate of %.3f for 50 of 1,000, want about 0.05", got)
 	}
 }
+
+// TestLapseEnds guards against requests to an upstream whose registration was removed:
+// the grace period must end at its time, not at the next pass of Expire.
+func TestLapseEnds(t *testing.T) {
+	r := NewRegistry()
+	r.Put(newUpstream("left", nil))
+	r.RecordOutage(start)
+	r.Remove(start.Add(10*time.Millisecond), "left")
+	for after, want := range map[time.Duration]int{lapsedGracePeriod - time.Millisecond: 1, lapsedGracePeriod: 0} {
+		if got := len(r.Candidates(start.Add(after), "s")); got != want {
+			t.Errorf("got %d candidates %v after the store's recovery, want %d", got, after, want)
+		}
+	}
+}
