--- a/direct/outage_test.go
+++ b/direct/outage_test.go
@@ -34,3 +34,26 @@
 		}
 	}
 }
+
+// TestRemovedBesideCutWatches guards against requests to an upstream whose registration
+// was removed while the store cuts single watches: a cut watch is no outage in which
+// registrations lapse.
+func TestRemovedBesideCutWatches(t *testing.T) {
+	s := newStackOf(t, stackOptions{entries: 1, fullWait: true})
+	left := s.replicas[0]
+	s.store.Delete(left.StoreKey())
+	removed := time.Now()
+	for time.Since(removed) < drainTime+time.Second {
+		s.store.SetFaults(stand.StoreFaults{Reset: true})
+		time.Sleep(time.Millisecond)
+		s.store.SetFaults(stand.StoreFaults{})
+		time.Sleep(250 * time.Millisecond)
+	}
+	before := len(left.ExecutedRequests())
+	for range 20 {
+		s.send(context.Background(), s.entries[0], callerRequest{path: "/read/a", key: testKey})
+	}
+	if got := len(left.ExecutedRequests()) - before; got != 0 {
+		t.Errorf("got %d requests at the upstream %v after its registration was removed, want none", got, drainTime+time.Second)
+	}
+}
--- a/direct/watch.go
+++ b/direct/watch.go
@@ -76,9 +76,17 @@
 	revision uint64
 	// downSince is when the store stopped responding; zero while it responds.
 	downSince time.Time
-	backoff   time.Duration
+	// failures counts the failed calls in a row.
+	failures int
+	// outage is set once the failures show that the store is away.
+	outage  bool
+	backoff time.Duration
 }
 
+// outageFailures is the number of failed calls in a row that show an outage. A single
+// call may be cut or refused by a store that serves the next one.
+const outageFailures = 2
+
 // poll lists the items or waits once for changes.
 func (w *prefixWatcher) poll() error {
 	e := w.entry
@@ -119,15 +127,21 @@
 func (w *prefixWatcher) recordResult(began, now time.Time, err error) {
 	if err == nil {
 		if !w.downSince.IsZero() {
-			w.entry.fleet.RecordOutage(now)
+			if w.outage {
+				w.entry.fleet.RecordOutage(now)
+			}
 			w.log.Infof("store responds again after %v", now.Sub(w.downSince).Round(time.Millisecond))
 		}
-		w.downSince, w.backoff = time.Time{}, minBackoff
+		w.downSince, w.failures, w.outage, w.backoff = time.Time{}, 0, false, minBackoff
 		w.entry.itemCaches[w.prefix].setDownSince(time.Time{})
 		w.entry.itemCaches[w.prefix].setLastResponse(now)
 		return
 	}
-	w.entry.fleet.RecordOutage(now)
+	w.failures++
+	w.outage = w.outage || w.failures >= outageFailures || now.Sub(began) > watchTimeout
+	if w.outage {
+		w.entry.fleet.RecordOutage(now)
+	}
 	if w.downSince.IsZero() {
 		w.downSince = now
 		w.entry.itemCaches[w.prefix].setDownSince(now)
