--- a/direct/cache.go
+++ b/direct/cache.go
@@ -13,8 +13,13 @@
 
 // itemCache holds a copy of the store items under a prefix at a revision.
 type itemCache struct {
-	mu       sync.Mutex
-	items    map[string]store.Item
+	// applying is held while changes are applied to the copy and to what depends on it,
+	// so that both see them in one order.
+	applying sync.Mutex
+
+	mu    sync.Mutex
+	items map[string]store.Item
+	// revision is the revision up to which the copy is complete.
 	revision uint64
 	// digest is a hash of the keys and revisions; 0 means that it must be recomputed.
 	digest uint64
@@ -24,6 +29,8 @@
 	downSince    time.Time
 }
 
+func newItemCache() *itemCache { return &itemCache{items: map[string]store.Item{}} }
+
 func (c *itemCache) setDownSince(since time.Time) {
 	c.mu.Lock()
 	c.downSince = since
@@ -43,36 +50,46 @@
 	return c.lastResponse, c.downSince
 }
 
-// put applies one change and reports whether it is newer than the cached item.
-func (c *itemCache) put(item store.Item) bool {
+// apply applies all changes up to a revision and returns those that were not known.
+// Without the key in the copy, only a change after its revision is new: one before it
+// was followed by the key's removal.
+func (c *itemCache) apply(items []store.Item, revision uint64) []store.Item {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if cached, ok := c.items[item.Key]; ok && cached.Revision >= item.Revision {
-		return false
-	}
-	if item.Deleted {
-		delete(c.items, item.Key)
-	} else {
-		c.items[item.Key] = item
+	var applied []store.Item
+	for _, item := range items {
+		cached, ok := c.items[item.Key]
+		if ok && cached.Revision >= item.Revision || !ok && item.Revision <= c.revision {
+			continue
+		}
+		if item.Deleted {
+			delete(c.items, item.Key)
+		} else {
+			c.items[item.Key] = item
+		}
+		c.digest = 0
+		applied = append(applied, item)
 	}
-	c.revision = max(c.revision, item.Revision)
-	c.digest = 0
-	return true
+	c.revision = max(c.revision, revision)
+	return applied
 }
 
-// replace applies a full listing and returns the removed keys. Items newer than the
-// listing stay.
-func (c *itemCache) replace(items []store.Item, revision uint64) []string {
+// replace applies a full listing and returns the items that were not known and the
+// removed keys. Items newer than the listing stay; one that is older than the copy adds
+// no keys.
+func (c *itemCache) replace(items []store.Item, revision uint64) (added []store.Item, removed []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	listed := map[string]bool{}
 	for _, item := range items {
 		listed[item.Key] = true
-		if cached, ok := c.items[item.Key]; !ok || cached.Revision < item.Revision {
-			c.items[item.Key] = item
+		cached, ok := c.items[item.Key]
+		if ok && cached.Revision >= item.Revision || !ok && revision < c.revision && item.Revision <= c.revision {
+			continue
 		}
+		c.items[item.Key] = item
+		added = append(added, item)
 	}
-	var removed []string
 	for key, item := range c.items {
 		if !listed[key] && item.Revision <= revision {
 			delete(c.items, key)
@@ -82,14 +99,7 @@
 	slices.Sort(removed)
 	c.revision = max(c.revision, revision)
 	c.digest = 0
-	return removed
-}
-
-// advance records that nothing changed up to a revision.
-func (c *itemCache) advance(revision uint64) {
-	c.mu.Lock()
-	c.revision = max(c.revision, revision)
-	c.mu.Unlock()
+	return added, removed
 }
 
 // position returns the revision and the digest.
--- a/direct/entry.go
+++ b/direct/entry.go
@@ -118,7 +118,7 @@
 	}
 	e.settings.Store(s)
 	for range codec.Prefixes {
-		e.itemCaches = append(e.itemCaches, &itemCache{items: map[string]store.Item{}})
+		e.itemCaches = append(e.itemCaches, newItemCache())
 	}
 	e.gossiper.OnGossip = e.handleGossip
 	e.gossiper.Positions = e.positions
--- a/direct/watch.go
+++ b/direct/watch.go
@@ -114,11 +114,8 @@
 		w.revision = 0
 		return nil
 	}
-	for _, item := range changes.Items {
-		e.applyItem(time.Now(), w.prefix, item)
-	}
+	e.applyChanges(time.Now(), w.prefix, changes)
 	w.revision = max(w.revision, changes.Revision)
-	e.itemCaches[w.prefix].advance(w.revision)
 	return nil
 }
 
@@ -152,8 +149,11 @@
 
 // replaceItems applies a full listing of a prefix at a revision.
 func (e *Entry) replaceItems(now time.Time, prefix int, src source, items []store.Item, revision uint64) {
-	removed := e.itemCaches[prefix].replace(items, revision)
-	for _, item := range items {
+	c := e.itemCaches[prefix]
+	c.applying.Lock()
+	defer c.applying.Unlock()
+	added, removed := c.replace(items, revision)
+	for _, item := range added {
 		e.handleItem(now, src, item)
 	}
 	for _, key := range removed {
@@ -161,9 +161,12 @@
 	}
 }
 
-// applyItem applies one change.
-func (e *Entry) applyItem(now time.Time, prefix int, item store.Item) {
-	if e.itemCaches[prefix].put(item) {
+// applyChanges applies the events of a watch.
+func (e *Entry) applyChanges(now time.Time, prefix int, changes store.Changes) {
+	c := e.itemCaches[prefix]
+	c.applying.Lock()
+	defer c.applying.Unlock()
+	for _, item := range c.apply(changes.Items, changes.Revision) {
 		e.handleItem(now, sourceWatch, item)
 	}
 }
