platform: one unreadable item no longer stops a prefix (CONFIG, DRAIN)

What callers and upstreams would see: no change of the configuration, no leaving upstream and no new one is noticed any more, at any entry, for as long as the item lies in the store. Cause: a listing or watch was decoded as a whole. One item whose value is no base64, or one field of another type, failed the call; the next call got the same item. Ruled out: dropping it in the client, which has no log.

--- a/direct/cache.go
+++ b/direct/cache.go
@@ -59,7 +59,7 @@
 	var applied []store.Item
 	for _, item := range items {
 		cached, ok := c.items[item.Key]
-		if ok && cached.Revision >= item.Revision || !ok && item.Revision <= c.revision {
+		if item.Key == "" || ok && cached.Revision >= item.Revision || !ok && item.Revision <= c.revision {
 			continue
 		}
 		if item.Deleted {
@@ -84,7 +84,7 @@
 	for _, item := range items {
 		listed[item.Key] = true
 		cached, ok := c.items[item.Key]
-		if ok && cached.Revision >= item.Revision || !ok && revision < c.revision && item.Revision <= c.revision {
+		if item.Key == "" || ok && cached.Revision >= item.Revision || !ok && revision < c.revision && item.Revision <= c.revision {
 			continue
 		}
 		c.items[item.Key] = item
--- a/direct/watch.go
+++ b/direct/watch.go
@@ -152,6 +152,7 @@
 	c := e.itemCaches[prefix]
 	c.applying.Lock()
 	defer c.applying.Unlock()
+	e.logKeyless(items)
 	added, removed := c.replace(items, revision)
 	for _, item := range added {
 		e.handleItem(now, src, item)
@@ -161,11 +162,21 @@
 	}
 }
 
+// logKeyless logs the items whose key cannot be read; the copy ignores them.
+func (e *Entry) logKeyless(items []store.Item) {
+	for _, item := range items {
+		if item.Key == "" {
+			e.log.With("revision", item.Revision).Warnf("ignored an item without a readable key: %v", item.Err)
+		}
+	}
+}
+
 // applyChanges applies the events of a watch.
 func (e *Entry) applyChanges(now time.Time, prefix int, changes store.Changes) {
 	c := e.itemCaches[prefix]
 	c.applying.Lock()
 	defer c.applying.Unlock()
+	e.logKeyless(changes.Items)
 	for _, item := range c.apply(changes.Items, changes.Revision) {
 		e.handleItem(now, sourceWatch, item)
 	}
--- a/store/watch.go
+++ b/store/watch.go
@@ -10,6 +10,9 @@
 	Revision uint64
 	// Deleted items have no value.
 	Deleted bool
+	// Err is set if the store's text of the item could not be decoded; the fields that
+	// could be are set.
+	Err error
 }
 
 // Changes is the result of a watch.
