Tests of direct and relay use the one function for free ports

Cause: go test -race ./direct, six at once: one run failed in TestTruncatedAtEachByte, 'listen: address already in use'. The tests had two own copies of freeAddress, which take a port of the range that outgoing connections use too, so another connection may take it before the entry. Not proved: a single run had failed once before without its output being kept; whether it was this is not known.

--- a/direct/stack_test.go
+++ b/direct/stack_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -15,6 +14,7 @@
 	"github.com/zeebo/errs"
 
 	"cactustide/direct"
+	"cactustide/fakes"
 	"cactustide/meter"
 	"cactustide/platform"
 	"cactustide/platform/stand"
@@ -103,7 +103,7 @@
 	s.t.Helper()
 	settings := &setup.DirectSettings{
 		Name: fmt.Sprintf("entry-%d", i), Centre: "zone-a",
-		Listen: freeAddress(s.t), Readiness: freeAddress(s.t), Admin: freeAddress(s.t), Peer: freeAddress(s.t),
+		Listen: fakes.FreeAddress(), Readiness: fakes.FreeAddress(), Admin: fakes.FreeAddress(), Peer: fakes.FreeAddress(),
 		Store: s.store.Address, MemoryBytes: 256 << 20, MaxSockets: 1000, StopTimeout: 5 * time.Second,
 		RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50, RecomputeWindow: 10 * time.Second,
 	}
@@ -166,16 +166,6 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
 func waitFor(t *testing.T, what string, done func() bool) {
 	t.Helper()
 	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -7,20 +7,11 @@
 	"testing"
 	"time"
 
+	"cactustide/fakes"
 	"cactustide/meter"
 	"cactustide/wire"
 )
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
 // recorder collects the messages that a gossiper handles.
 type recorder struct {
 	mu       sync.Mutex
@@ -45,7 +36,7 @@
 
 func newGossiper(t *testing.T, process uint64, seeds ...string) (*Gossiper, *recorder) {
 	t.Helper()
-	g := New("hub", freeAddress(t), seeds, process, meter.NewLogger(io.Discard, "info", "json", "relay"))
+	g := New("hub", fakes.FreeAddress(), seeds, process, meter.NewLogger(io.Discard, "info", "json", "relay"))
 	got := &recorder{}
 	g.OnGossip = got.add
 	g.OnPeerUp = func(time.Time, string) {}
@@ -99,7 +90,7 @@
 	if err != nil || cacheState.GetCaches()[0].GetUpstream() != 7 {
 		t.Errorf("got %v, %v, want the cache state of a", cacheState, err)
 	}
-	if _, err := b.FetchSnapshot(freeAddress(t), 0); err == nil {
+	if _, err := b.FetchSnapshot(fakes.FreeAddress(), 0); err == nil {
 		t.Error("got no error from a closed port, want one")
 	}
 }
