fleet: the store's revision decides which registration is newer (DRAIN)

What upstreams would see: requests after they said that they leave, without an end, and none at a process that has started again. Cause: a registration with a lower start time was ignored whatever its revision. If an upstream starts again under its id after its host's clock was set back, all that it says is ignored, its leaving too. Now: the order is that of revisions, as the store is linearizable; start times decide only where no revision is known. Among registrations of one process the sequence still counts, since a write may take effect late. Ruled out: sequence alone (starts anew with each process).

--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -55,7 +55,8 @@
 )
 
 // Put stores a registration and returns its effect. A registration that is older
-// than the stored one, by start time, revision or sequence, is ignored.
+// than the stored one is ignored: by revision, without one by start time, and among
+// those of one process by sequence.
 func (r *Registry) Put(u Upstream) Change {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -64,7 +65,9 @@
 		r.members[u.ID] = &member{Upstream: u, hash: xxhash.Sum64String(u.ID)}
 		return ChangeNew
 	}
-	if u.StartedAt < m.StartedAt || (u.Revision != 0 && u.Revision < m.Revision) {
+	// A start time may be lower than that of the process before, if the host's clock was
+	// set back; the order of revisions is that of the store.
+	if u.Revision != 0 && u.Revision < m.Revision || u.Revision == 0 && u.StartedAt < m.StartedAt {
 		return ChangeStale
 	}
 	if u.StartedAt == m.StartedAt && u.Sequence < m.Sequence {
