route: an agent on a leaving host gets no work from its first state on (DRAIN)

What an upstream would see: up to 2 s of new requests after its host was marked as leaving, at an entry that has just started. Cause: the list of hosts marked only agents that the table knew. One whose state arrived after the list stayed unmarked until the next list. Evidence: TestLeavingBeforeUpdate failed before (the agent is chosen) and passes. Now: the table keeps the marks and applies them to new agents. Ruled out: a shorter interval of the list, which keeps the fault smaller.

--- a/route/route_test.go
+++ b/route/route_test.go
@@ -146,3 +146,18 @@
 		}
 	}
 }
+
+// TestLeavingBeforeUpdate guards against requests to an agent on a host that is leaving
+// when the entry first sees it: the list of hosts arrives before the agent's state.
+func TestLeavingBeforeUpdate(t *testing.T) {
+	table := New(3 * time.Second)
+	table.SetLeaving(map[string]bool{"a": true})
+	table.Update(now, agent("a", nil))
+	if got, ok := table.Choose(now, Requirements{Model: "m"}, rand.IntN); ok {
+		t.Errorf("got %q chosen, want none", got)
+	}
+	table.SetLeaving(map[string]bool{})
+	if _, ok := table.Choose(now, Requirements{Model: "m"}, rand.IntN); !ok {
+		t.Error("got no agent once the host does not leave any more, want one")
+	}
+}
--- a/route/table.go
+++ b/route/table.go
@@ -72,6 +72,8 @@
 type Table struct {
 	mu     sync.Mutex
 	agents map[string]*member
+	// leaving names the agents on hosts that are leaving, also those without a state yet.
+	leaving map[string]bool
 	// maxStateAge is the age from which on an agent's state is no longer used.
 	maxStateAge time.Duration
 }
@@ -90,7 +92,7 @@
 	defer t.mu.Unlock()
 	m, ok := t.agents[a.Name]
 	if !ok {
-		m = &member{}
+		m = &member{leaving: t.leaving[a.Name]}
 		t.agents[a.Name] = m
 	}
 	if a.Incarnation < m.Incarnation {
@@ -107,6 +109,7 @@
 func (t *Table) SetLeaving(leaving map[string]bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.leaving = leaving
 	for name, m := range t.agents {
 		m.leaving = leaving[name]
 	}
