agent, entry: adopt a document and put it in force under one lock (CONFIG)

What callers would see: a change that was confirmed and adopted is not in force at a process until the next one. Cause: Adopt, then storing what follows from the document (effective policy, index) were two steps. Two documents at once, from the platform and from a peer, could store in the other order, and nothing corrected it later. Ruled out for direct: its table is adopted as one pointer (rules.Holder). Now: one lock spans both steps.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -72,7 +72,9 @@
 	upstream     *upstream
 	queue        *admissionQueue
 	crashRecords *retry.CrashRecords
-	config       config.Holder
+	// applying is held while a document and what follows from it are put in force.
+	applying sync.Mutex
+	config   config.Holder
 	// effective is the document with its preset applied.
 	effective atomic.Pointer[config.Document]
 	// incarnation is the fencing token; 0 until the platform has assigned one.
@@ -171,6 +173,8 @@
 
 // applyConfig puts a document in force if it is newer.
 func (a *Agent) applyConfig(d *config.Document) {
+	a.applying.Lock()
+	defer a.applying.Unlock()
 	if !a.config.Adopt(d) {
 		return
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -75,15 +75,17 @@
 	scrapeHandler fasthttp.RequestHandler
 	platform      *store.Client
 	jobClient     *fasthttp.Client
-	config        config.Holder
-	configIndex   atomic.Pointer[configIndex]
-	table         *route.Table
-	crashRecords  *retry.CrashRecords
-	retryBudget   *retry.Budget
-	limiter       *teamLimiter
-	counters      *usage.Counters
-	burn          *burn.Meter
-	agentConns    agentConns
+	// applying is held while a document and its index are put in force.
+	applying     sync.Mutex
+	config       config.Holder
+	configIndex  atomic.Pointer[configIndex]
+	table        *route.Table
+	crashRecords *retry.CrashRecords
+	retryBudget  *retry.Budget
+	limiter      *teamLimiter
+	counters     *usage.Counters
+	burn         *burn.Meter
+	agentConns   agentConns
 	// agentStates holds the last wire.AgentState of each agent by name.
 	agentStates sync.Map
 
@@ -277,10 +279,15 @@
 		e.log.Errorf("decoding the configuration document failed: %v", err)
 		return
 	}
-	if !e.config.Adopt(d) {
+	e.applying.Lock()
+	adopted := e.config.Adopt(d)
+	if adopted {
+		e.configIndex.Store(newConfigIndex(d))
+	}
+	e.applying.Unlock()
+	if !adopted {
 		return
 	}
-	e.configIndex.Store(newConfigIndex(e.config.Get()))
 	e.scope.Gauge("generation").Update(float64(d.Generation))
 	e.log.Infof("applied configuration generation %d, preset %s", d.Generation, d.Preset)
 	e.syncAll()
