agent: a document put in force beside the stop no longer ends the drain (DRAIN)

What an upstream would see: new work at an agent that is stopping. Cause: applyConfig read 'stopping' and set the queue's drain in two steps; Drain between them was overwritten. Now: Drain takes the same lock. Ruled out: a drain flag that cannot be unset, as an operator may end one.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -147,8 +147,10 @@
 
 // Drain refuses new requests and waits until none runs, at most timeout.
 func (a *Agent) Drain(timeout time.Duration) {
+	a.applying.Lock() // A document that is put in force meanwhile must not end the drain.
 	a.stopping.Store(true)
 	a.queue.setDraining(true)
+	a.applying.Unlock()
 	idle := make(chan struct{})
 	go func() {
 		a.queue.waitIdle()
