direct: notice the store's return within 1 s of it (DRAIN)

What an upstream saw: a request 2876 ms after its registration was removed. Cause: an entry that was cut off from the store noticed its return 1.3 s later (a probe of 0.75 s, then 0.5 s of backoff). Removals up to 2 s after that count as lapsed, so until 3.3 s after the return, but the entry is in touch again, and bound, after 3 s. Now: backoff is counted from the start of the failed call, so a probe that timed out is repeated after 0.1 s: 0.85 s at most. Ruled out: a shorter backoff for calls that fail at once, which would load a store that refuses them.

--- a/direct/outage_test.go
+++ b/direct/outage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"testing"
 	"time"
@@ -57,3 +58,39 @@
 		t.Errorf("got %d requests at the upstream %v after its registration was removed, want none", got, drainTime+time.Second)
 	}
 }
+
+// TestReturnNoticed guards against keeping an upstream that leaves after the store's
+// return: registrations that are removed up to 2 s after an entry has noticed the return
+// count as lapsed, so it must notice within 1 s to be right once it is in touch.
+func TestReturnNoticed(t *testing.T) {
+	for name, down := range map[string]time.Duration{"a": 2600 * time.Millisecond, "b": 2900 * time.Millisecond, "c": 3300 * time.Millisecond, "d": 3700 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newStackOf(t, stackOptions{entries: 1, fullWait: true})
+			s.store.SetFaults(stand.StoreFaults{NoResponse: true})
+			time.Sleep(down)
+			s.store.SetFaults(stand.StoreFaults{})
+			returned := time.Now()
+			waitFor(t, "the store's return noticed", func() bool { return !s.isStoreDown(t, s.entries[0]) })
+			if got, limit := time.Since(returned), contactTime-2*time.Second; got > limit {
+				t.Errorf("got the return noticed after %v, want at most %v", got, limit)
+			}
+		})
+	}
+}
+
+// isStoreDown reports whether the entry has no answer from the store.
+func (s *testStack) isStoreDown(t *testing.T, e *testEntry) bool {
+	t.Helper()
+	_, body := s.get(t, e, "/status")
+	var status struct{ Prefixes []struct{ Down float64 } }
+	if err := json.Unmarshal([]byte(body), &status); err != nil {
+		t.Fatal(err)
+	}
+	for _, p := range status.Prefixes {
+		if p.Down > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/direct/watch.go
+++ b/direct/watch.go
@@ -19,7 +19,8 @@
 	probeTimeout = 50 * time.Millisecond
 	// listTimeout bounds a listing; the store responds in milliseconds.
 	listTimeout = 800 * time.Millisecond
-	// minBackoff and maxBackoff bound the exponential delay between failed calls.
+	// minBackoff and maxBackoff bound the exponential time between the starts of calls
+	// that fail.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 500 * time.Millisecond
 )
@@ -49,7 +50,7 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(w.backoff):
+		case <-time.After(w.delay):
 		}
 	}
 	return nil
@@ -81,6 +82,8 @@
 	// outage is set once the failures show that the store is away.
 	outage  bool
 	backoff time.Duration
+	// delay is the time from the last failed call to the next one.
+	delay time.Duration
 }
 
 // outageFailures is the number of failed calls in a row that show an outage. A single
@@ -145,6 +148,8 @@
 		w.log.With("revision", w.revision).With("waited", now.Sub(began).Milliseconds()).Warnf("store does not respond: %v", err)
 	}
 	w.backoff = min(maxBackoff, max(minBackoff, 2*w.backoff))
+	// A call that took long was a pause too; the store's return must be noticed soon.
+	w.delay = max(minBackoff, w.backoff-now.Sub(began))
 }
 
 // replaceItems applies a full listing of a prefix at a revision.
