direct: one watch that is not answered is no outage (DRAIN)

What an upstream would see: requests over 2 s after its registration was removed, for up to 0.8 s. Cause: a watch that a short cut left unanswered was given up after 1.7 s and counted as an outage by itself; removals in the next 2 s were taken for lapses, until 3.8 s after the cut. Now: only two failed calls in a row are an outage. With the next probe at once, that means at least 2.4 s without an answer; registrations lapse after three heartbeats, 3.6 s here. Ruled out: asking peers whether they reach the store. It would tell a local cut from the store's outage, but only once a message has arrived.

--- a/direct/outage_test.go
+++ b/direct/outage_test.go
@@ -79,6 +79,27 @@
 	}
 }
 
+// TestRemovedAfterUnansweredWatch guards against keeping an upstream whose registration was
+// removed, because one watch before it was not answered.
+func TestRemovedAfterUnansweredWatch(t *testing.T) {
+	s := newStackOf(t, stackOptions{entries: 1, fullWait: true})
+	s.store.SetFaults(stand.StoreFaults{NoResponse: true})
+	time.Sleep(20 * time.Millisecond)
+	s.store.SetFaults(stand.StoreFaults{})
+	time.Sleep(time.Second) // The watches of both prefixes are given up after 1.7 s.
+	left := s.replicas[0]
+	s.store.Delete(left.StoreKey())
+	removed := time.Now()
+	time.Sleep(drainTime)
+	before := len(left.ExecutedRequests())
+	for time.Since(removed) < drainTime+500*time.Millisecond {
+		s.send(context.Background(), s.entries[0], callerRequest{path: "/read/a", key: testKey})
+	}
+	if got := len(left.ExecutedRequests()) - before; got != 0 {
+		t.Errorf("got %d requests at the upstream later than %v after its removal, want none", got, drainTime)
+	}
+}
+
 // isStoreDown reports whether the entry has no answer from the store.
 func (s *testStack) isStoreDown(t *testing.T, e *testEntry) bool {
 	t.Helper()
--- a/direct/watch.go
+++ b/direct/watch.go
@@ -87,7 +87,7 @@
 }
 
 // outageFailures is the number of failed calls in a row that show an outage. A single
-// call may be cut or refused by a store that serves the next one.
+// call may be cut, refused or left unanswered by a store that serves the next one.
 const outageFailures = 2
 
 // poll lists the items or waits once for changes.
@@ -138,7 +138,7 @@
 		return
 	}
 	w.failures++
-	w.outage = w.outage || w.failures >= outageFailures || now.Sub(began) > watchTimeout
+	w.outage = w.outage || w.failures >= outageFailures
 	if w.outage {
 		w.entry.fleet.RecordOutage(now)
 	}
