--- a/direct/forward.go
+++ b/direct/forward.go
@@ -206,7 +206,7 @@
 // request is finished.
 func (e *Entry) handleFailure(ctx context.Context, w http.ResponseWriter, q *request, state *forwardState, to fleet.Upstream, f *failure) bool {
 	now := time.Now()
-	logger := q.log.With("request", q.info.ID).With("upstream", to.ID).With("sent", f.sent).With("error", f.err.Error())
+	logger := q.log.With("request", q.info.ID).With("upstream", to.ID).With("sent", f.sent).With("parts", q.info.Parts).With("error", f.err.Error())
 	if ctx.Err() != nil {
 		if f.sent {
 			q.sends++
--- a/direct/response.go
+++ b/direct/response.go
@@ -191,7 +191,7 @@
 func (e *Entry) handleStreamError(ctx context.Context, w http.ResponseWriter, q *request, state *forwardState, x *exchange, count int, err error) bool {
 	x.abort()
 	now := time.Now()
-	logger := q.log.With("request", q.info.ID).With("upstream", x.to.ID).With("events", count).With("last", state.lastEventID).With("error", err.Error())
+	logger := q.log.With("request", q.info.ID).With("upstream", x.to.ID).With("events", count).With("last", state.lastEventID).With("parts", q.info.Parts).With("error", err.Error())
 	if ctx.Err() != nil {
 		logger.Infof("caller disconnected during the stream")
 		since := q.lastEventTime
--- a/direct/types.go
+++ b/direct/types.go
@@ -46,6 +46,8 @@
 	HasTimeout bool
 	// Segments of the prompt that other requests may share.
 	Segments []place.Segment
+	// Parts are the ids of these segments, each by itself.
+	Parts []string
 	// PromptTokens is the length of the prompt, MaxOutputTokens the largest output allowed.
 	PromptTokens    int
 	MaxOutputTokens int
