direct: an unframed stream that ends before its first event is broken off

What callers would see: an empty stream that looks complete, when an upstream closes a response without length or chunks before its first event. Cause: such a response ends with its connection, so the end alone counted as a complete stream. Now: without an event such a stream counts as broken off: 502, or resumed.

--- a/direct/edge_test.go
+++ b/direct/edge_test.go
@@ -184,20 +184,26 @@
 	s.t.Cleanup(func() { _ = listener.Close() })
 	u := &truncatingUpstream{listener: listener, response: response, reset: reset}
 	go u.serve()
-	entry, err := json.Marshal(map[string]any{
-		"service": "desk", "address": listener.Addr().String(), "zone": "zone-a", "version": "v1",
+	s.replaceUpstreams("cutter", listener.Addr().String())
+	return u
+}
+
+// replaceUpstreams registers one upstream in place of the stack's.
+func (s *testStack) replaceUpstreams(id, address string) {
+	s.t.Helper()
+	registration, err := json.Marshal(map[string]any{
+		"service": "desk", "address": address, "zone": "zone-a", "version": "v1",
 		"slots": 4, "state": "ready", "cold-remaining-ms": 0, "seq": 1, "born": 1,
 	})
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	s.store.Put("servers/cutter", entry)
+	s.store.Put("servers/"+id, registration)
 	for _, r := range s.replicas {
 		s.store.Delete(r.StoreKey())
 	}
-	waitFor(s.t, "only the truncating upstream registered", func() bool {
+	waitFor(s.t, "only "+id+" registered", func() bool {
 		_, text := s.get(s.t, s.entries[0], direct.PathStatus)
-		return strings.Contains(text, "cutter") && !strings.Contains(text, s.replicas[0].ID) && !strings.Contains(text, s.replicas[1].ID)
+		return strings.Contains(text, `"`+id+`"`) && !strings.Contains(text, s.replicas[0].ID) && !strings.Contains(text, s.replicas[1].ID)
 	})
-	return u
 }
--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -173,7 +173,7 @@
 			return nil
 		}
 		x.entry.log.With("request", q.info.ID).With("upstream", x.to.ID).With("other", info.ID).Warnf("skipped a response to another request")
-		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		if isUnframed(resp) {
 			return errMismatched
 		}
 		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBufferedBody)); err != nil {
@@ -183,12 +183,18 @@
 	return errNoResponse
 }
 
+// isUnframed reports whether a response has neither a length nor chunks and so ends with
+// its connection.
+func isUnframed(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // finish returns the connection to the pool after the response was read to its end.
 func (x *exchange) finish() {
 	stopped := x.stopCancel()
 	select {
 	case err := <-x.writeResult:
-		if err != nil || !stopped || x.resp.Close || x.resp.ContentLength < 0 && len(x.resp.TransferEncoding) == 0 {
+		if err != nil || !stopped || x.resp.Close || isUnframed(x.resp) {
 			x.entry.pool.Discard(x.conn)
 			return
 		}
--- a/direct/response.go
+++ b/direct/response.go
@@ -128,6 +128,9 @@
 	for {
 		event, err := s.next()
 		now := time.Now()
+		if err == io.EOF && len(s.partial) == 0 && count == 0 && isUnframed(x.resp) {
+			err = io.ErrUnexpectedEOF // The end of the connection alone does not show that the stream is complete.
+		}
 		if err == io.EOF && len(s.partial) == 0 {
 			return e.endStream(w, q, state, x, count)
 		}
