direct: bound the head of a response that an upstream sends without end

What an entry would suffer: memory that grows with what an upstream in trouble sends, until the request's timeout. Cause: http.ReadResponse reads a status line or a field of any length. Now: reading a head fails after 256 KiB. Bodies were bounded before: what is not passed on is cut at 256 KiB, an event at 1 MiB, all by the timeout. Ruled out: fasthttp's reader, whose buffer has a limit, since it joins repeated fields of responses.

--- a/conn/pool.go
+++ b/conn/pool.go
@@ -62,10 +62,13 @@
 	net.Conn
 	Reader *bufio.Reader
 	// Reused reports whether the connection has carried a request before.
-	Reused    bool
-	address   string
-	idleSince time.Time
-	expires   time.Time
+	Reused bool
+	// readLeft bounds the bytes that are still read if readLimited.
+	readLeft    int
+	readLimited bool
+	address     string
+	idleSince   time.Time
+	expires     time.Time
 }
 
 // Pool keeps idle connections by address. It is safe for concurrent use.
@@ -109,7 +112,32 @@
 		return nil, &Error{Op: "open " + address, Kind: KindDial, Err: err}
 	}
 	p.opened.Add(1)
-	return &Conn{Conn: raw, Reader: bufio.NewReaderSize(raw, readBufferBytes), address: address}, nil
+	c := &Conn{Conn: raw, address: address}
+	c.Reader = bufio.NewReaderSize(c, readBufferBytes)
+	return c, nil
+}
+
+// ErrReadLimit is returned by reads beyond the limit that LimitRead set.
+var ErrReadLimit = errs.New("more bytes than allowed")
+
+// LimitRead makes reads fail after n more bytes from the network. It keeps a peer that
+// sends without end from filling the memory of a parser without a limit of its own.
+func (c *Conn) LimitRead(n int) { c.readLeft, c.readLimited = n, true }
+
+// UnlimitRead removes the limit.
+func (c *Conn) UnlimitRead() { c.readLimited = false }
+
+// Read reads from the connection, within the limit.
+func (c *Conn) Read(p []byte) (int, error) {
+	if !c.readLimited {
+		return c.Conn.Read(p)
+	}
+	if c.readLeft <= 0 {
+		return 0, ErrReadLimit
+	}
+	n, err := c.Conn.Read(p[:min(len(p), c.readLeft)])
+	c.readLeft -= n
+	return n, err
 }
 
 func (p *Pool) popIdle(address string) *Conn {
--- /dev/null
+++ b/direct/endless_test.go
@@ -0,0 +1,84 @@
+package direct_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"cactustide/direct"
+)
+
+// TestEndlessBytes guards against an upstream in trouble that sends bytes without end, in a
+// head or a body: the request must end by its timeout, must not look complete, and the
+// entry must not store the bytes.
+func TestEndlessBytes(t *testing.T) {
+	// socketBytes is what the two ends of a connection may hold.
+	const socketBytes = 24 << 20
+	tests := map[string]struct {
+		response, tail string
+		path           string
+		// endless bodies of a response that has begun are passed on, not stored.
+		passed bool
+	}{
+		"status line":             {response: "HTTP/1.1 200 ", tail: "O", path: "/book/a"},
+		"bytes that are no head":  {response: "", tail: "\x00\x01\x02", path: "/book/a"},
+		"field":                   {response: rawHead + "X-Long: ", tail: "x", path: "/book/a"},
+		"fields":                  {response: rawHead, tail: "X-Many: x\r\n", path: "/book/a"},
+		"informational responses": {response: "", tail: "HTTP/1.1 100 Continue\r\n\r\n", path: "/book/a"},
+		"chunk size":              {response: rawHead + "Transfer-Encoding: chunked\r\n\r\n", tail: "0", path: "/book/a"},
+		"trailer":                 {response: rawHead + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n", tail: "X-Many: x\r\n", path: "/book/a"},
+		"body of an error":        {response: "HTTP/1.1 500 no\r\nCactustide-Request-Id: ID\r\nCactustide-Response-Signature: s\r\n\r\n", tail: "x", path: "/read/a", passed: true},
+		"body":                    {response: rawHead + "\r\n", tail: "x", path: "/book/a", passed: true},
+		"event":                   {response: rawStream + rawEvent + "id: 2\ndata: ", tail: "x", path: "/chat/a"},
+		"line of an event":        {response: rawStream + rawEvent, tail: "data: x\n", path: "/chat/a"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newStack(t, 1)
+			u := s.newRawUpstream(test.response, test.tail)
+			ctx, cancel := context.WithTimeout(context.Background(), 6*time.Second)
+			defer cancel()
+			begin := time.Now()
+			got := s.sendDiscarding(ctx, s.entries[0], test.path, strings.HasPrefix(test.path, "/chat"))
+			if took := time.Since(begin); took > 4*time.Second {
+				t.Errorf("got an end after %v, want it by the route's timeout", took)
+			}
+			if got.status == http.StatusOK && got.err == nil {
+				t.Error("got a response that looks complete, want an error or an early end")
+			}
+			if sent := u.sent.Load(); !test.passed && sent > socketBytes {
+				t.Errorf("got %d bytes read from the upstream, want at most %d", sent, socketBytes)
+			}
+			waitFor(t, "no request in progress", func() bool {
+				_, text := s.get(t, s.entries[0], direct.PathStatus)
+				return !strings.Contains(text, `"requests"`) || strings.Contains(text, `"requests":"0"`)
+			})
+		})
+	}
+}
+
+// sendDiscarding sends a request and discards the body of the response.
+func (s *testStack) sendDiscarding(ctx context.Context, e *testEntry, path string, stream bool) callerResponse {
+	s.t.Helper()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.settings.Listen+path, strings.NewReader("x"))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	req.Host = testHost
+	req.Header.Set("Cactustide-Request-Id", "endless-1")
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	if stream {
+		req.Header.Set("Cactustide-Model", "m")
+	}
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return callerResponse{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return callerResponse{status: resp.StatusCode, err: err}
+}
--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -35,6 +35,8 @@
 	// maxMismatched bounds the responses read for one request, including skipped ones:
 	// responses to other requests and informational ones.
 	maxMismatched = 3
+	// maxResponseHeadBytes bounds the head of a response, bytes; http.ReadResponse does not.
+	maxResponseHeadBytes = 256 << 10
 	// maxBufferedBody is the largest response body that is buffered before it is sent
 	// on, bytes.
 	maxBufferedBody = 256 << 10
@@ -157,10 +159,12 @@
 // requests, which may arrive on a reused connection.
 func (x *exchange) readHead(q *request) error {
 	for range maxMismatched {
+		x.conn.LimitRead(maxResponseHeadBytes)
 		resp, err := http.ReadResponse(x.conn.Reader, &http.Request{Method: q.method})
 		if err != nil {
 			return err
 		}
+		x.conn.UnlimitRead()
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
