--- a/direct/part_test.go
+++ b/direct/part_test.go
@@ -103,8 +103,10 @@
 						case <-time.After(20 * time.Millisecond):
 						}
 						at := time.Now()
-						got := s.send(context.Background(), s.entries[n%2], callerRequest{path: "/chat/x", key: testKey, stream: true, body: fmt.Sprint(n),
-							header: map[string]string{"Cactustide-Prompt-Prefix": fmt.Sprintf("aa:60,s%d:30,o%d:20", n%4, n)}})
+						got := s.send(context.Background(), s.entries[n%2], callerRequest{
+							path: "/chat/x", key: testKey, stream: true, body: fmt.Sprint(n),
+							header: map[string]string{"Cactustide-Prompt-Prefix": fmt.Sprintf("aa:60,s%d:30,o%d:20", n%4, n)},
+						})
 						mu.Lock()
 						sound = append(sound, sample{at, got.status == http.StatusOK})
 						mu.Unlock()
@@ -116,8 +118,10 @@
 			var fifth time.Time
 			for i := 0; time.Since(begin) < 8*time.Second && (fifth.IsZero() || time.Since(fifth) < 4*time.Second); i++ {
 				e := s.entries[i%2]
-				s.send(context.Background(), e, callerRequest{path: test.path + fmt.Sprint("x", i), key: testKey, stream: true, body: fmt.Sprint(i),
-					header: map[string]string{"Cactustide-Prompt-Prefix": test.prefix(i) + fmt.Sprintf(",own%d:9", i)}})
+				s.send(context.Background(), e, callerRequest{
+					path: test.path + fmt.Sprint("x", i), key: testKey, stream: true, body: fmt.Sprint(i),
+					header: map[string]string{"Cactustide-Prompt-Prefix": test.prefix(i) + fmt.Sprintf(",own%d:9", i)},
+				})
 				time.Sleep(60 * time.Millisecond)
 				if times := s.crashTimes(); fifth.IsZero() && (len(times) >= 5 || len(times) > 0 && time.Since(begin) > 3*time.Second) {
 					fifth = times[min(len(times), 5)-1]
