soak: signals, restarts, changes and departures in series, beside the plan

Cause: faults came one after the other; a stop was waited for before the next fault, and no upstream left without a draining report. Now: a second list of events runs beside the plan: two stops that overlap, three SIGHUPs, three changes of the configuration, a removed registration, and changes with a departure at the return of a silent store. It has its own random source, so the plans of seeds that failed before stay as they were. Ruled out: new kinds in the plan's lists, which would change every old seed.

--- a/soak/fault.go
+++ b/soak/fault.go
@@ -29,13 +29,19 @@
 	begin := time.Now()
 	for _, s := range plan {
 		time.Sleep(time.Until(begin.Add(s.Offset)))
-		r.faultCounts[s.Kind]++
-		fmt.Fprintf(r.historyLog, "%s fault %s\n", time.Now().Format("05.000"), s)
+		r.countFault(s)
 		r.inject(s)
 	}
 	time.Sleep(time.Until(begin.Add(r.opts.FaultDuration)))
 }
 
+func (r *runner) countFault(s ScheduledFault) {
+	r.mu.Lock()
+	r.faultCounts[s.Kind]++
+	r.mu.Unlock()
+	fmt.Fprintf(r.historyLog, "%s fault %s\n", time.Now().Format("05.000"), s)
+}
+
 // runAfter runs a task in the background after a delay.
 func (r *runner) runAfter(d time.Duration, task func()) {
 	r.delayedTasks.Go(func() {
@@ -59,10 +65,7 @@
 	switch s.Kind {
 	case "kill", "term":
 		r.recordDisturbance(s.Target, s.Duration+stopGracePeriod+time.Second)
-		r.stopEntry(p, s.Kind == "term")
-		if err := r.spawn(p); err != nil {
-			r.reportViolation("start", "%s did not restart: %v", p.name, err)
-		}
+		r.restartEntry(p, s.Kind == "term")
 	case "pause":
 		r.recordDisturbance(s.Target, s.Duration)
 		r.mu.Lock()
@@ -91,6 +94,16 @@
 	}
 }
 
+// restartEntry stops an entry, gracefully or at once, and starts it again.
+func (r *runner) restartEntry(p *entryProcess, graceful bool) {
+	p.restarting.Lock()
+	defer p.restarting.Unlock()
+	r.stopEntry(p, graceful)
+	if err := r.spawn(p); err != nil {
+		r.reportViolation("start", "%s did not restart: %v", p.name, err)
+	}
+}
+
 // isListening reports whether the entry accepts connections. A paused one still does.
 func (p *entryProcess) isListening() bool {
 	c, err := net.DialTimeout("tcp", fmt.Sprintf("%s:%d", p.ip, portReady), dialTimeout)
@@ -154,10 +167,16 @@
 // drain drains an upstream, later returns it to service, and checks that no request
 // reaches it in between.
 func (r *runner) drain(u *upstream) {
+	r.takeOut(u, func() { r.store.Put(u.StoreKey(), u.Registration("draining")) })
+}
+
+// takeOut announces that an upstream leaves, later returns it to service, and checks that
+// no request reaches it in between.
+func (r *runner) takeOut(u *upstream, announce func()) {
 	if u.draining.Swap(true) {
 		return // The end of the first drain would end the second one.
 	}
-	r.store.Put(u.StoreKey(), u.Registration("draining"))
+	announce()
 	drainedAt := time.Now()
 	replica := u.Replica
 	r.runAfter(applyTimeout+disturbedApplyMargin+time.Second, func() {
@@ -206,6 +225,8 @@
 		r.store.Compact()
 		return
 	case "unreadable":
+		r.changing.Lock()
+		defer r.changing.Unlock()
 		r.store.Put("op/config", []byte("{"))
 		r.store.Put("servers/other", []byte("no entry"))
 		// The platform's store rejects unreadable configurations, so one that got in is
@@ -214,9 +235,13 @@
 		r.store.Put("op/config", r.config())
 		return
 	case "config":
+		r.changing.Lock()
+		defer r.changing.Unlock()
 		r.addRoute()
 		return
 	case "older":
+		r.changing.Lock()
+		defer r.changing.Unlock()
 		r.writeOlderConfig()
 		return
 	}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -30,9 +30,30 @@
 	storeFaultKinds    = []string{"busy", "down", "broken", "slow", "forget", "config", "unreadable", "older"}
 )
 
+// seriesKinds are events in series, which overlap the faults of the plan: planned stops of
+// two entries, hang-ups, changes of the configuration, upstreams whose registration is
+// removed, and changes right after the store was silent.
+var seriesKinds = []string{"terms", "hups", "changes", "leave", "silent"}
+
 // FaultKinds returns every kind of fault.
 func FaultKinds() []string {
-	return slices.Concat(entryFaultKinds, upstreamFaultKinds, storeFaultKinds)
+	return slices.Concat(entryFaultKinds, upstreamFaultKinds, storeFaultKinds, seriesKinds)
+}
+
+// NewSeries draws the events in series of a run. They have a random source of their own,
+// so that the plans of seeds that failed before stay as they were.
+func NewSeries(seed uint64, duration time.Duration, entries, upstreams int) []ScheduledFault {
+	random := rand.New(rand.NewPCG(seed, 12))
+	var plan []ScheduledFault
+	for at := time.Duration(1000+random.IntN(1500)) * time.Millisecond; at < duration; at += time.Duration(800+random.IntN(2500)) * time.Millisecond {
+		s := ScheduledFault{Offset: at, Kind: seriesKinds[random.IntN(len(seriesKinds))], Duration: time.Duration(200+random.IntN(2500)) * time.Millisecond}
+		s.Target = random.IntN(entries)
+		if s.Kind == "leave" || s.Kind == "silent" {
+			s.Target = random.IntN(upstreams)
+		}
+		plan = append(plan, s)
+	}
+	return plan
 }
 
 // NewPlan draws the faults of a run at random. They come in bursts and overlap. The
--- a/soak/run.go
+++ b/soak/run.go
@@ -75,6 +75,8 @@
 }
 
 type entryProcess struct {
+	// restarting is held while the entry is stopped and started.
+	restarting sync.Mutex
 	name, ip   string
 	cmd        *exec.Cmd
 	done       chan struct{}
@@ -99,12 +101,14 @@
 }
 
 type runner struct {
-	opts         Options
-	store        *stand.Store
-	entries      []*entryProcess
-	upstreams    []*upstream
-	history      history
-	routes       map[string]stand.Route
+	opts      Options
+	store     *stand.Store
+	entries   []*entryProcess
+	upstreams []*upstream
+	history   history
+	routes    map[string]stand.Route
+	// changing is held while the configuration is changed.
+	changing     sync.Mutex
 	addedRoutes  []stand.Route
 	version      uint64
 	mu           sync.Mutex
@@ -140,7 +144,10 @@
 	for i := range o.Callers {
 		callers.Go(func() { r.runCaller(i) })
 	}
+	var series sync.WaitGroup
+	series.Go(r.injectSeries)
 	r.injectPlan()
+	series.Wait()
 	r.delayedTasks.Wait()
 	r.checkRecovery()
 	close(r.stopCallers)
