TestCrashingPart: guard the entries beside a restart

Evidence: the trace names part_test.go 106 and 162 alone. Now: a lock guards the list. Ruled out: the product (no frame of it in the trace). The checks are unchanged.

--- a/direct/part_test.go
+++ b/direct/part_test.go
@@ -103,7 +103,7 @@
 						case <-time.After(20 * time.Millisecond):
 						}
 						at := time.Now()
-						got := s.send(context.Background(), s.entries[n%2], callerRequest{
+						got := s.send(context.Background(), s.entry(n%2), callerRequest{
 							path: "/chat/x", key: testKey, stream: true, body: fmt.Sprint(n),
 							header: map[string]string{"Cactustide-Prompt-Prefix": fmt.Sprintf("aa:60,s%d:30,o%d:20", n%4, n)},
 						})
@@ -159,6 +159,16 @@
 	s.t.Helper()
 	s.entries[i].Close()
 	s.entries[i].closed = true
-	s.entries[i] = s.newEntry(i)
+	next := s.newEntry(i)
+	s.swapping.Lock()
+	s.entries[i] = next
+	s.swapping.Unlock()
 	waitFor(s.t, "ready after a restart", func() bool { return s.isReady(s.entries[i]) })
 }
+
+// entry returns an entry, beside restarts.
+func (s *testStack) entry(i int) *testEntry {
+	s.swapping.Lock()
+	defer s.swapping.Unlock()
+	return s.entries[i]
+}
--- a/direct/stack_test.go
+++ b/direct/stack_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -36,6 +37,8 @@
 	client   *http.Client
 	sequence atomic.Int64
 	options  stackOptions
+	// swapping is held while a restarted entry replaces the old one.
+	swapping sync.Mutex
 }
 
 type stackOptions struct {
