--- a/direct/admin.go
+++ b/direct/admin.go
@@ -72,10 +72,18 @@
 	}
 	for _, u := range e.fleet.States(now) {
 		load := e.balancer.Load(now, u.Upstream)
-		s.Upstreams = append(s.Upstreams, &wire.UpstreamStatus{
+		status := &wire.UpstreamStatus{
 			Id: u.ID, Service: u.Service, Address: u.Address, Centre: u.Centre, Draining: u.Draining, Banned: u.Banned,
 			Failures: u.FailureRate, Running: uint32(load.Running), Backlog: uint32(load.Backlog.Milliseconds()), Lapsed: u.Lapsed,
-		})
+			Leaving: string(u.Leaving),
+		}
+		if u.Leaving != "" {
+			status.Since = now.Sub(u.LeavingSince).Seconds()
+		}
+		if !u.PausedUntil.IsZero() {
+			status.Paused = u.PausedUntil.Sub(now).Seconds()
+		}
+		s.Upstreams = append(s.Upstreams, status)
 	}
 	if t := e.rules.Get(); t != nil {
 		for _, service := range t.Document.Services {
--- a/direct/edge_test.go
+++ b/direct/edge_test.go
@@ -191,14 +191,7 @@
 // replaceUpstreams registers one upstream in place of the stack's.
 func (s *testStack) replaceUpstreams(id, address string) {
 	s.t.Helper()
-	registration, err := json.Marshal(map[string]any{
-		"service": "desk", "address": address, "zone": "zone-a", "version": "v1",
-		"slots": 4, "state": "ready", "cold-remaining-ms": 0, "seq": 1, "born": 1,
-	})
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	s.store.Put("servers/"+id, registration)
+	s.register(id, address)
 	for _, r := range s.replicas {
 		s.store.Delete(r.StoreKey())
 	}
@@ -207,3 +200,26 @@
 		return strings.Contains(text, `"`+id+`"`) && !strings.Contains(text, s.replicas[0].ID) && !strings.Contains(text, s.replicas[1].ID)
 	})
 }
+
+// register registers one more upstream and waits until the first entry knows it.
+func (s *testStack) register(id, address string) {
+	s.t.Helper()
+	s.put(id, address, 1, 1)
+	waitFor(s.t, id+" registered", func() bool {
+		_, text := s.get(s.t, s.entries[0], direct.PathStatus)
+		return strings.Contains(text, `"`+id+`"`)
+	})
+}
+
+// put writes the registration of an upstream, with its number and the start of its process.
+func (s *testStack) put(id, address string, sequence, born int) {
+	s.t.Helper()
+	registration, err := json.Marshal(map[string]any{
+		"service": "desk", "address": address, "zone": "zone-a", "version": "v1",
+		"slots": 4, "state": "ready", "cold-remaining-ms": 0, "seq": sequence, "born": born,
+	})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.store.Put("servers/"+id, registration)
+}
--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -32,9 +32,9 @@
 	connFraction = 0.9
 	// defaultMaxConns is the number of connections to an upstream whose service sets none.
 	defaultMaxConns = 100
-	// maxMismatched bounds the responses read for one request, including skipped ones:
+	// maxHeads bounds the responses read for one request, including skipped ones:
 	// responses to other requests and informational ones.
-	maxMismatched = 3
+	maxHeads = 16
 	// maxResponseHeadBytes bounds the head of a response, bytes; http.ReadResponse does not.
 	maxResponseHeadBytes = 256 << 10
 	// maxBufferedBody is the largest response body that is buffered before it is sent
@@ -55,6 +55,8 @@
 	conn  *conn.Conn
 	resp  *http.Response
 	info  ResponseInfo
+	// skipped is set when a response to another request was read.
+	skipped bool
 	// writeResult receives the result of sending the request.
 	writeResult chan error
 	stopCancel  func() bool
@@ -71,6 +73,8 @@
 	unreachable bool
 	// connsFull is set when all connections to the upstream are in use.
 	connsFull bool
+	// withdrawn is the reason why the upstream must not get the request any more.
+	withdrawn fleet.Withdrawal
 }
 
 // send sends a request to an upstream and reads the head of the response.
@@ -86,6 +90,10 @@
 		full := errors.As(err, &typed) && typed.Kind == conn.KindFull
 		return nil, &failure{err: err, unreachable: !full, connsFull: full}
 	}
+	if w := e.fleet.Withdrawn(time.Now(), to); w != fleet.WithdrawalNone {
+		e.pool.Discard(c)
+		return nil, &failure{err: errs.New("the upstream was withdrawn: %s", string(w)), withdrawn: w}
+	}
 	x := &exchange{entry: e, to: to, conn: c, writeResult: make(chan error, 1)}
 	if err := c.SetDeadline(q.deadline); err != nil {
 		e.pool.Discard(c)
@@ -155,10 +163,10 @@
 	}()
 }
 
-// readHead reads the head of the response. It skips late responses to other
-// requests, which may arrive on a reused connection.
+// readHead reads the head of the response. It skips responses that are not to this
+// request, which may arrive on a reused connection.
 func (x *exchange) readHead(q *request) error {
-	for range maxMismatched {
+	for range maxHeads {
 		x.conn.LimitRead(maxResponseHeadBytes)
 		resp, err := http.ReadResponse(x.conn.Reader, &http.Request{Method: q.method})
 		if err != nil {
@@ -169,14 +177,21 @@
 			continue
 		}
 		info := x.entry.headers.DecodeResponse(resp.Header)
-		if info.ID == q.info.ID || info.ID == "" && resp.StatusCode >= http.StatusMultipleChoices {
+		if info.Leaving {
+			x.entry.recordLeaving(fleet.Departure{Upstream: x.to.ID, StartedAt: x.to.StartedAt, Source: fleet.SourceResponse, At: time.Now()})
+		}
+		if x.isResponseTo(q, resp, info) {
 			if resp.StatusCode < http.StatusMultipleChoices && !info.Signed {
 				return errUnsigned
 			}
 			x.resp, x.info = resp, info
+			x.recordPause(q)
 			return nil
 		}
-		x.entry.log.With("request", q.info.ID).With("upstream", x.to.ID).With("other", info.ID).Warnf("skipped a response to another request")
+		x.skipped = true
+		x.entry.log.With("request", q.info.ID).With("upstream", x.to.ID).With("other", info.ID).With("status", resp.StatusCode).
+			With("reused", x.conn.Reused).Warnf("skipped a response that is not to this request")
+		x.entry.scope.Counter("stray").Inc(1)
 		if isUnframed(resp) {
 			return errMismatched
 		}
@@ -187,6 +202,35 @@
 	return errNoResponse
 }
 
+// isResponseTo reports whether a response is to the request. Upstreams state the id of the
+// request. A response without one counts only as a failure, and only on a connection that
+// carried no other request; it never shows that the request was not executed.
+func (x *exchange) isResponseTo(q *request, resp *http.Response, info ResponseInfo) bool {
+	if info.ID != "" {
+		return info.ID == q.info.ID
+	}
+	return !x.conn.Reused && !info.NotExecuted &&
+		resp.StatusCode >= http.StatusInternalServerError && resp.StatusCode != http.StatusServiceUnavailable
+}
+
+// recordPause records for how long an upstream that refused the request wants no others.
+func (x *exchange) recordPause(q *request) {
+	if x.resp.StatusCode != http.StatusServiceUnavailable {
+		return
+	}
+	logger := x.entry.log.With("request", q.info.ID).With("upstream", x.to.ID)
+	if x.info.InvalidRetryAfter != "" {
+		logger.Warnf("ignored a Retry-After that is no number of seconds: %.40q", x.info.InvalidRetryAfter)
+	}
+	if x.info.RetryAfter <= 0 {
+		return
+	}
+	now := time.Now()
+	until := x.entry.fleet.Pause(now, x.to.ID, x.to.StartedAt, x.info.RetryAfter)
+	logger.With("asked", x.info.RetryAfter.Milliseconds()).With("pause", until.Sub(now).Milliseconds()).Infof("upstream wants no requests for a time")
+	x.entry.scope.Counter("pauses").Inc(1)
+}
+
 // isUnframed reports whether a response has neither a length nor chunks and so ends with
 // its connection.
 func isUnframed(resp *http.Response) bool {
@@ -198,7 +242,7 @@
 	stopped := x.stopCancel()
 	select {
 	case err := <-x.writeResult:
-		if err != nil || !stopped || x.resp.Close || isUnframed(x.resp) {
+		if err != nil || !stopped || x.skipped || x.resp.Close || isUnframed(x.resp) {
 			x.entry.pool.Discard(x.conn)
 			return
 		}
--- a/direct/forward.go
+++ b/direct/forward.go
@@ -33,11 +33,18 @@
 	executed int
 	// responseStarted is set when the caller has part of the response.
 	responseStarted bool
-	// lastEventID is the id of the last event that the caller received.
+	// lastEventID is the id of the last event that the caller received. idGaps is set if
+	// the ids so far were no consecutive numbers.
 	lastEventID string
+	idGaps      bool
 	// notExecuted is set when an upstream reported that it did not execute the request.
 	notExecuted   bool
 	upstreamsFull bool
+	// waited is the time spent waiting for a paused upstream.
+	waited time.Duration
+	// resumesAt is when the first paused upstream takes requests again; zero if none is
+	// paused.
+	resumesAt time.Time
 }
 
 // forward sends a request to an upstream and the response to the caller. It tries
@@ -56,12 +63,20 @@
 	state := &forwardState{lastEventID: q.info.LastEventID}
 	for {
 		now := time.Now()
+		if ctx.Err() != nil {
+			e.logResult(q, 0, outcomeDisconnected, nil)
+			return
+		}
 		if !now.Before(q.deadline) {
 			e.fail(w, q, state, http.StatusGatewayTimeout, reasonTimeout)
 			return
 		}
 		choice, ok := e.choose(now, q, state)
+		if !ok && e.waitForResume(ctx, now, q, state) {
+			continue
+		}
 		if !ok {
+			e.logNoUpstream(now, q, state)
 			e.fail(w, q, state, http.StatusServiceUnavailable, reasonNoUpstream)
 			return
 		}
@@ -136,7 +151,8 @@
 	if state.responseStarted && !streams {
 		return e.handleNotResumed(w, q, state, x)
 	}
-	if x.resp.StatusCode >= http.StatusInternalServerError {
+	unproven := promisesNotExecuted(x.resp.StatusCode)
+	if x.resp.StatusCode >= http.StatusInternalServerError || unproven {
 		e.recordOutcome(now, to, true)
 		if e.canRetry(q, state) {
 			q.log.With("request", q.info.ID).With("upstream", to.ID).With("status", x.resp.StatusCode).Infof("upstream failed; trying another")
@@ -144,6 +160,12 @@
 			return false
 		}
 	}
+	if unproven {
+		q.log.With("request", q.info.ID).With("upstream", to.ID).With("status", x.resp.StatusCode).Infof("upstream did not state that it did not execute the request")
+		x.drainBody()
+		e.fail(w, q, state, http.StatusBadGateway, reasonAborted)
+		return true
+	}
 	if streams {
 		return e.forwardStream(ctx, w, q, state, x, inFlight)
 	}
@@ -162,9 +184,20 @@
 		e.budget.Balance(time.Now(), q.service.Name, e.entryCount()) >= 1
 }
 
-// isNotExecuted reports whether the upstream did not execute the request.
+// isNotExecuted reports whether the upstream did not execute the request. A success that
+// says so contradicts itself and counts as executed.
 func isNotExecuted(x *exchange) bool {
-	return x.info.NotExecuted || x.resp.StatusCode == http.StatusMisdirectedRequest
+	return x.info.NotExecuted && x.resp.StatusCode >= http.StatusBadRequest || x.resp.StatusCode == http.StatusMisdirectedRequest
+}
+
+// promisesNotExecuted reports whether callers take a status for the promise that the
+// request was not executed.
+func promisesNotExecuted(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
 }
 
 // handleNotResumed handles an upstream that did not resume a stream of which the
@@ -219,6 +252,10 @@
 		e.logResult(q, 0, outcomeDisconnected, nil)
 		return true
 	}
+	if f.withdrawn != fleet.WithdrawalNone {
+		logger.Infof("upstream withdrawn before the request was sent")
+		return false
+	}
 	if f.unreachable {
 		logger = logger.With("ban", e.ban(now, to, f.err).Milliseconds())
 	}
@@ -265,6 +302,10 @@
 	if state.executed > 0 && status == http.StatusServiceUnavailable {
 		status = http.StatusBadGateway // It may have been executed; 503 would state that it was not.
 	}
+	if !state.resumesAt.IsZero() && reason == reasonNoUpstream {
+		e.respond(w, q, status, reasonPaused, q.boundRetryAfter(time.Until(state.resumesAt)))
+		return
+	}
 	if state.upstreamsFull && reason == reasonNoUpstream {
 		reason = reasonUpstreamsFull
 	}
--- a/direct/handle.go
+++ b/direct/handle.go
@@ -58,6 +58,7 @@
 	reasonBodyMemory     = "too many bodies in progress"
 	reasonNoUpstream     = "no upstream"
 	reasonUpstreamsFull  = "upstreams are full"
+	reasonPaused         = "upstreams want no requests now"
 	reasonShed           = "no room in time"
 	reasonAborted        = "the upstream broke off"
 	reasonTimeout        = "time is up"
@@ -263,6 +264,11 @@
 	case reasonNoUpstream, reasonUpstreamsFull, reasonShed, reasonBodyMemory:
 		after = fullRetryAfter
 	}
+	return q.boundRetryAfter(after)
+}
+
+// boundRetryAfter returns a Retry-After that the caller can observe.
+func (q *request) boundRetryAfter(after time.Duration) time.Duration {
 	if q.info.HasTimeout {
 		after = min(after, time.Duration(maxRetryAfterFraction*float64(q.info.Timeout)))
 	}
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -83,6 +83,7 @@
 		e.mergeCrashRecord(now, m)
 	}
 	e.mergeParts(now, msg.GetParts(), msg.GetSound())
+	e.mergeDepartures(now, msg.GetLeaving())
 }
 
 // compareRevision records whether a peer is ahead of this entry for a prefix.
@@ -246,6 +247,7 @@
 			return nil
 		}
 		e.mergeParts(time.Now(), reply.GetParts(), nil)
+		e.mergeDepartures(time.Now(), reply.GetLeaving())
 		n := 0
 		for _, c := range reply.GetCaches() {
 			u, ok := e.fleet.FindHash(c.GetUpstream())
@@ -270,6 +272,9 @@
 	for _, r := range e.partRecords.Crashes(now) {
 		reply.Parts = append(reply.Parts, encodePartCrash(now, r))
 	}
+	for _, d := range e.fleet.Departures() {
+		reply.Leaving = append(reply.Leaving, encodeDeparture(now, d))
+	}
 	for id, state := range e.balancer.CacheStates(now) {
 		c := &wire.Cache{Upstream: xxhash.Sum64String(id), Backlog: uint32(state.Backlog.Milliseconds())}
 		for _, seg := range state.Segments {
--- a/direct/response.go
+++ b/direct/response.go
@@ -10,6 +10,8 @@
 	"strings"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"cactustide/place"
 )
 
@@ -73,6 +75,11 @@
 	return true
 }
 
+var (
+	errNotEvent   = errs.New("bytes that are no event in a stream")
+	errNotResumed = errs.New("upstream did not go on after the last event")
+)
+
 // eventReader reads the events of a text/event-stream.
 type eventReader struct {
 	reader *bufio.Reader
@@ -109,6 +116,28 @@
 	return err == nil && (bytes.Contains(buffered, []byte("\n\n")) || bytes.Contains(buffered, []byte("\n\r\n")))
 }
 
+// isEvent reports whether a block of lines is an event of a stream and not, say, the head
+// of an error that an upstream wrote into it: each line is a comment, or a field whose name
+// is in lowercase.
+func isEvent(block []byte) bool {
+	for line := range bytes.Lines(block) {
+		line = bytes.TrimRight(line, "\r\n")
+		name, _, found := bytes.Cut(line, []byte(":"))
+		if len(line) == 0 || found && len(name) == 0 {
+			continue
+		}
+		if !found && !bytes.Equal(line, []byte("data")) && !bytes.Equal(line, []byte("id")) {
+			return false
+		}
+		for _, c := range name {
+			if (c < 'a' || c > 'z') && c != '-' && c != '_' {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // eventID returns the id of an event, or an empty string.
 func eventID(event []byte) string {
 	for line := range bytes.Lines(event) {
@@ -125,20 +154,32 @@
 	s := &eventReader{reader: bufio.NewReaderSize(x.resp.Body, 4<<10)}
 	flush := http.NewResponseController(w)
 	count := 0
+	resumed := state.responseStarted
 	for {
 		event, err := s.next()
 		now := time.Now()
-		if err == io.EOF && len(s.partial) == 0 && count == 0 && isUnframed(x.resp) {
-			err = io.ErrUnexpectedEOF // The end of the connection alone does not show that the stream is complete.
+		if err == io.EOF && len(s.partial) == 0 && count == 0 && (isUnframed(x.resp) || resumed) {
+			// Neither the end of a connection nor an upstream that adds nothing to a
+			// stream that broke off shows that the stream is complete.
+			err = io.ErrUnexpectedEOF
 		}
 		if err == io.EOF && len(s.partial) == 0 {
 			return e.endStream(w, q, state, x, count)
 		}
+		if err == nil && !isEvent(event) {
+			err = errNotEvent
+		}
+		id := ""
+		if err == nil {
+			id = eventID(event)
+			if resumed && count == 0 && !state.continues(id) {
+				err = errNotResumed
+			}
+		}
 		if err != nil {
 			return e.handleStreamError(ctx, w, q, state, x, count, err)
 		}
 		inFlight.RecordEvent(now)
-		id := eventID(event)
 		if !isNewer(state.lastEventID, id) {
 			q.log.With("request", q.info.ID).With("upstream", x.to.ID).With("last", state.lastEventID).With("event", id).Warnf("dropped an event out of order")
 			continue
@@ -154,6 +195,7 @@
 		}
 		q.lastEventTime = now
 		if id != "" {
+			state.idGaps = state.idGaps || state.lastEventID != "" && !state.continues(id)
 			state.lastEventID = id
 		}
 		count++
@@ -169,6 +211,17 @@
 	}
 }
 
+// continues reports whether an event follows the last one that the caller received. Where
+// the ids so far had gaps, any greater id does.
+func (s *forwardState) continues(id string) bool {
+	last, err := strconv.ParseInt(s.lastEventID, 10, 64)
+	if err != nil {
+		return true
+	}
+	next, err := strconv.ParseInt(id, 10, 64)
+	return err == nil && (next == last+1 || s.idGaps && next > last)
+}
+
 // isNewer reports whether an event id is greater than the last one that the caller
 // received. It returns true if either is not a number.
 func isNewer(last, id string) bool {
--- a/direct/types.go
+++ b/direct/types.go
@@ -77,6 +77,12 @@
 	// Signed is set when the upstream's application made the response.
 	Signed                  bool
 	Running, Waiting, Slots int
+	// Leaving is set when the upstream's process is leaving.
+	Leaving bool
+	// RetryAfter is how long the upstream wants no requests, if it refused this one;
+	// InvalidRetryAfter is the text if it is not a time.
+	RetryAfter        time.Duration
+	InvalidRetryAfter string
 }
 
 // HeaderCodec reads and writes the platform's headers.
--- /dev/null
+++ b/fleet/belief_test.go
@@ -0,0 +1,104 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// TestDeparture guards the life of the knowledge that a process is leaving: it holds for
+// one process, whatever its registration says later, and ends with the next one.
+func TestDeparture(t *testing.T) {
+	now := time.Unix(1000, 0)
+	ready := Upstream{ID: "u", Service: "s", Address: "10.0.0.1:80", Slots: 1, Sequence: 3, StartedAt: 7, Revision: 10}
+	leaves := Departure{Upstream: "u", StartedAt: 7, Source: SourceResponse, At: now}
+	next := ready
+	next.StartedAt, next.Sequence, next.Revision = 8, 1, 12
+	newer := ready
+	newer.Sequence, newer.Revision = 4, 11
+	tests := map[string]struct {
+		steps func(r *Registry)
+		want  bool
+	}{
+		"leaving":                       {func(r *Registry) { r.Put(ready); r.MarkLeaving(leaves) }, false},
+		"a newer registration":          {func(r *Registry) { r.Put(ready); r.MarkLeaving(leaves); r.Put(newer) }, false},
+		"known before the registration": {func(r *Registry) { r.MarkLeaving(leaves); r.Put(ready) }, false},
+		"registration gone and back": {func(r *Registry) {
+			r.Put(ready)
+			r.MarkLeaving(leaves)
+			r.Remove(now, "u")
+			r.Expire(now)
+			r.Put(newer)
+		}, false},
+		"the next process":                   {func(r *Registry) { r.Put(ready); r.MarkLeaving(leaves); r.Put(next) }, true},
+		"late news of the earlier process":   {func(r *Registry) { r.Put(next); r.MarkLeaving(leaves) }, true},
+		"forgotten after the next process":   {func(r *Registry) { r.Put(ready); r.MarkLeaving(leaves); r.Put(next); r.Expire(now) }, true},
+		"an old registration after the next": {func(r *Registry) { r.Put(ready); r.MarkLeaving(leaves); r.Put(next); r.Put(ready) }, true},
+		"another upstream":                   {func(r *Registry) { r.Put(ready); r.MarkLeaving(Departure{Upstream: "v", StartedAt: 7, At: now}) }, true},
+		"registration without a start, twice": {func(r *Registry) {
+			u := ready
+			u.StartedAt = 0
+			r.Put(u)
+			r.MarkLeaving(Departure{Upstream: "u", At: now})
+			r.Put(u)
+		}, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := NewRegistry()
+			test.steps(r)
+			if got := len(r.Candidates(now, "s")) == 1; got != test.want {
+				t.Errorf("got candidate %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+// TestDeparturesBounded: the memory for leaving processes is bounded, and the oldest go.
+func TestDeparturesBounded(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := NewRegistry()
+	for i := range maxLeaving + 10 {
+		r.MarkLeaving(Departure{Upstream: fmt.Sprint(i), At: now.Add(time.Duration(i))})
+	}
+	if got := len(r.Departures()); got != maxLeaving {
+		t.Errorf("got %d departures, want %d", got, maxLeaving)
+	}
+	r.Expire(now.Add(leavingRetention + time.Second))
+	if got := len(r.Departures()); got != 0 {
+		t.Errorf("got %d departures after the retention, want none", got)
+	}
+}
+
+// TestPause guards the time that an upstream asks for without requests.
+func TestPause(t *testing.T) {
+	now := time.Unix(1000, 0)
+	u := Upstream{ID: "u", Service: "s", Address: "10.0.0.1:80", Slots: 1, Sequence: 1, StartedAt: 7, Revision: 1}
+	r := NewRegistry()
+	r.Put(u)
+	if got := r.Pause(now, "u", 6, time.Second); !got.IsZero() || len(r.Candidates(now, "s")) != 1 {
+		t.Errorf("got a pause until %v by an earlier process, want none", got)
+	}
+	r.Pause(now, "u", 7, 2*time.Second)
+	r.Pause(now, "u", 7, time.Second)
+	for after, want := range map[time.Duration]int{0: 0, 1900 * time.Millisecond: 0, 2 * time.Second: 1} {
+		if got := len(r.Candidates(now.Add(after), "s")); got != want {
+			t.Errorf("got %d candidates after %v, want %d", got, after, want)
+		}
+	}
+	if got := r.Withdrawn(now, u); got != WithdrawalPaused {
+		t.Errorf("got %q for a connection that opened within the pause, want %q", got, WithdrawalPaused)
+	}
+	if at, ok := r.NextResume(now, "s"); !ok || !at.Equal(now.Add(2*time.Second)) {
+		t.Errorf("got resume at %v, %v, want in 2 s", at, ok)
+	}
+	if got := r.Pause(now, "u", 7, 100*time.Hour); !got.Equal(now.Add(MaxPause)) {
+		t.Errorf("got a pause until %v, want the longest allowed", got)
+	}
+	next := u
+	next.StartedAt, next.Revision = 8, 2
+	r.Put(next)
+	if got := len(r.Candidates(now, "s")); got != 1 {
+		t.Errorf("got %d candidates after a restart, want 1", got)
+	}
+}
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -24,18 +24,24 @@
 	health health
 	// lapsed is set when the registration was removed around an outage.
 	lapsed bool
+	paused pause
 }
 
 // Registry holds the upstreams by id.
 type Registry struct {
 	mu      sync.RWMutex
 	members map[string]*member
+	// leaving holds the processes that said that they are leaving, by the id of the
+	// upstream. They outlast the registration, which an outage may remove and bring back.
+	leaving map[string]Departure
 	// lastOutage is when the store last failed to respond, or when it recovered.
 	lastOutage time.Time
 }
 
 // NewRegistry returns an empty registry.
-func NewRegistry() *Registry { return &Registry{members: map[string]*member{}} }
+func NewRegistry() *Registry {
+	return &Registry{members: map[string]*member{}, leaving: map[string]Departure{}}
+}
 
 // Change is the effect of a registration or of its removal.
 type Change string
@@ -156,6 +162,7 @@
 func (r *Registry) Expire(now time.Time) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.expireDepartures(now)
 	if now.Sub(r.lastOutage) < lapsedGracePeriod {
 		return nil
 	}
@@ -206,7 +213,7 @@
 	defer r.mu.RUnlock()
 	list := make([]Candidate, 0, len(r.members))
 	for _, m := range r.members {
-		list = append(list, m.candidate(now))
+		list = append(list, r.candidate(now, m))
 	}
 	slices.SortFunc(list, func(a, b Candidate) int { return cmp.Compare(a.ID, b.ID) })
 	return list
@@ -221,10 +228,17 @@
 	Banned bool
 	// Lapsed is set if the registration was removed around an outage of the store.
 	Lapsed bool
+	// Leaving is set if the process said that it is leaving, with the source.
+	Leaving Source
+	// LeavingSince is when it said so.
+	LeavingSince time.Time
+	// PausedUntil is the end of the time that the process asked for without requests; zero
+	// without one.
+	PausedUntil time.Time
 }
 
 // Candidates returns the upstreams of a service that accept new requests, banned
-// ones included, sorted by id.
+// ones included, sorted by id. Those that are leaving or paused are left out.
 func (r *Registry) Candidates(now time.Time, service string) []Candidate {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
@@ -233,14 +247,24 @@
 		if m.Service != service || m.Draining || m.lapsed && now.Sub(r.lastOutage) >= lapsedGracePeriod {
 			continue
 		}
-		list = append(list, m.candidate(now))
+		if r.isLeaving(m) || !m.pausedUntil(now).IsZero() {
+			continue
+		}
+		list = append(list, r.candidate(now, m))
 	}
 	slices.SortFunc(list, func(a, b Candidate) int { return cmp.Compare(a.ID, b.ID) })
 	return list
 }
 
-func (m *member) candidate(now time.Time) Candidate {
-	return Candidate{Upstream: m.Upstream, FailureRate: m.health.failureRate(now), Banned: now.Before(m.health.bannedUntil), Lapsed: m.lapsed}
+func (r *Registry) candidate(now time.Time, m *member) Candidate {
+	c := Candidate{
+		Upstream: m.Upstream, FailureRate: m.health.failureRate(now), Banned: now.Before(m.health.bannedUntil), Lapsed: m.lapsed,
+		PausedUntil: m.pausedUntil(now),
+	}
+	if r.isLeaving(m) {
+		c.Leaving, c.LeavingSince = r.leaving[m.ID].Source, r.leaving[m.ID].At
+	}
+	return c
 }
 
 // decay scales the outcome counts down to now.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -213,6 +213,11 @@
 	g.broadcast(16+len(s.GetPart()), func(msg *wire.Gossip) { msg.Sound = append(msg.Sound, s) })
 }
 
+// BroadcastLeaving announces that a process of an upstream is leaving.
+func (g *Gossiper) BroadcastLeaving(d *wire.Departure) {
+	g.broadcast(24+len(d.GetUpstream()), func(msg *wire.Gossip) { msg.Leaving = append(msg.Leaving, d) })
+}
+
 // BroadcastOutcome announces how a request ended at an upstream.
 func (g *Gossiper) BroadcastOutcome(upstream uint64, failed bool) {
 	g.mu.Lock()
@@ -279,7 +284,7 @@
 	msg := &wire.Gossip{
 		Process: g.process, Sequence: sequence, Positions: positions,
 		Sent: g.pending.Sent, Ended: g.pending.Ended, Doubts: g.pending.Doubts, Marks: g.pending.Marks,
-		Outcomes: g.pending.Outcomes, Parts: g.pending.Parts, Sound: g.pending.Sound,
+		Outcomes: g.pending.Outcomes, Parts: g.pending.Parts, Sound: g.pending.Sound, Leaving: g.pending.Leaving,
 	}
 	g.pending, g.pendingBytes = wire.Gossip{}, 0
 	if full {
