entry: try a suspect agent before a refusal; not ready before the first syncs

And a single failed sync made an agent unusable until the next one, although it served requests; with the other agent killed, as in TestPlatformOutage, every request until then was refused.

Change: ready only after the list of hosts was asked for and each agent was tried once; before a refusal the agent that reported last, within twice the age up to which states are used, is tried. A refusal logs what is believed of each agent and how old that is.

Ruled out: a longer age for all choices: it would send to agents that are gone while others are known to serve.

--- a/entry/admin.go
+++ b/entry/admin.go
@@ -112,9 +112,12 @@
 	ctx.SetBodyString("ready\n")
 }
 
+// isReady reports whether the entry should receive traffic: it has a configuration, knows an
+// agent, and has tried to reach each agent once, so that it does not refuse requests for a
+// service whose agents it has not asked yet.
 func (e *Entry) isReady() bool {
 	agents, _ := e.table.List()
-	return !e.stopping.Load() && e.configIndex.Load() != nil && len(agents) > 0
+	return !e.stopping.Load() && e.configIndex.Load() != nil && len(agents) > 0 && e.agentConns.settled()
 }
 
 func writeJSON(ctx *fasthttp.RequestCtx, value any) {
--- a/entry/conns.go
+++ b/entry/conns.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cactustide/peer"
@@ -28,6 +29,8 @@
 	syncNow chan struct{}
 	// generation of the agent's configuration at the last sync; 0 if unknown.
 	generation uint64
+	// synced is set once the first sync has ended, with or without success.
+	synced atomic.Bool
 }
 
 // agentConns holds the control connections of this entry by the name of the agent.
@@ -35,6 +38,27 @@
 	mu     sync.Mutex
 	byName map[string]*agentConn
 	group  sync.WaitGroup
+	// hostsRead is set once the list of hosts was read or could not be read.
+	hostsRead bool
+}
+
+// settled reports whether the entry has asked for the list of hosts and has tried to reach
+// each agent once.
+func (c *agentConns) settled() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, conn := range c.byName {
+		if !conn.synced.Load() {
+			return false
+		}
+	}
+	return c.hostsRead
+}
+
+func (c *agentConns) setHostsRead() {
+	c.mu.Lock()
+	c.hostsRead = true
+	c.mu.Unlock()
 }
 
 // watchHosts updates the connections from the platform's list of hosts at each
@@ -48,6 +72,7 @@
 		} else {
 			e.updateConns(ctx, hosts)
 		}
+		e.agentConns.setHostsRead()
 		select {
 		case <-ctx.Done():
 			return nil
@@ -131,6 +156,7 @@
 	defer ticker.Stop()
 	for {
 		e.syncAgent(c)
+		c.synced.Store(true)
 		select {
 		case <-ctx.Done():
 			return
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -59,6 +59,8 @@
 			return &response{apiErr: apiErr.orMaybeExecuted(maybeExecuted)}
 		}
 		if name == "" {
+			e.log.With("request", r.id).With("attempt", attempt).With("refusal", lastRefusal).With("agents", e.table.Describe(time.Now(), r.requirements)).
+				Infof("no agent can take the request")
 			break
 		}
 		r.job.Id = r.id + "-" + strconv.Itoa(attempt)
@@ -102,6 +104,9 @@
 	}
 	for {
 		name, ok := e.table.Choose(now, r.requirements, rand.IntN)
+		if !ok {
+			name, ok = e.table.ChooseSuspect(now, r.requirements)
+		}
 		if !ok {
 			return "", "", nil
 		}
--- a/route/table.go
+++ b/route/table.go
@@ -5,7 +5,9 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -59,7 +61,9 @@
 
 type member struct {
 	Agent
+	// lastUpdate is zero while the agent is unreachable, lastReport is not.
 	lastUpdate time.Time
+	lastReport time.Time
 	// sentSinceUpdate counts the requests of this entry that the agent's state
 	// does not include yet.
 	sentSinceUpdate int
@@ -99,7 +103,7 @@
 		return false
 	}
 	m.Agent = a
-	m.lastUpdate = now
+	m.lastUpdate, m.lastReport = now, now
 	m.sentSinceUpdate = 0
 	return true
 }
@@ -179,6 +183,60 @@
 	return m.Name, true
 }
 
+// suspectStateAges is for how many maxStateAge after its last report an agent is tried if no
+// other one can take a request. A sync may fail while the agent serves requests.
+const suspectStateAges = 2
+
+// ChooseSuspect picks the agent that reported last among those that Choose leaves out
+// because they are unreachable or their state is old, or returns false if there is none. It
+// is asked before a request is refused.
+func (t *Table) ChooseSuspect(now time.Time, req Requirements) (string, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var found *member
+	for _, m := range t.agents {
+		if !m.mayRun(req) || now.Sub(m.lastReport) >= suspectStateAges*t.maxStateAge {
+			continue
+		}
+		if found == nil || m.lastReport.After(found.lastReport) || m.lastReport.Equal(found.lastReport) && m.Name < found.Name {
+			found = m
+		}
+	}
+	if found == nil {
+		return "", false
+	}
+	found.sentSinceUpdate++
+	return found.Name, true
+}
+
+// maxDescribed bounds the agents that Describe names.
+const maxDescribed = 8
+
+// Describe returns what is believed about the agents for a model or service, and how old
+// that is, for the log line of a refusal.
+func (t *Table) Describe(now time.Time, req Requirements) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var names []string
+	for name, m := range t.agents {
+		if m.Model == req.Model && m.Service == req.Service {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	var b strings.Builder
+	for i, name := range names {
+		if i == maxDescribed {
+			fmt.Fprintf(&b, " and %d more", len(names)-i)
+			break
+		}
+		m := t.agents[name]
+		fmt.Fprintf(&b, "%s: age %d ms, unreachable %v, draining %v, leaving %v, healthy %v, excluded %v, running %d of %d, space %d; ",
+			name, now.Sub(m.lastReport).Milliseconds(), m.lastUpdate.IsZero(), m.Draining, m.leaving, m.Healthy, req.Excluded[name], m.Running, m.Slots, m.QueueSpace)
+	}
+	return b.String()
+}
+
 // candidates returns the agents that may run the request, or only those that would
 // admit its tier if there are any.
 func (t *Table) candidates(now time.Time, req Requirements) []*member {
