soak: release the descriptors of ended connections; end a run that hangs

Change: the pair is closed when both directions have ended; a failed accept is tried again; a run that does not end 3 min after its faults prints its goroutines and fails.

--- a/labs/soak.go
+++ b/labs/soak.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"runtime/pprof"
 	"slices"
 	"strconv"
 	"time"
@@ -38,9 +39,11 @@
 		for i := range seeds {
 			runSeed := seed + uint64(i)
 			dir := filepath.Join(os.TempDir(), "cactustide-soak-"+strconv.FormatUint(runSeed, 10))
+			stopWatchdog := startWatchdog(runSeed, faultDuration+soakMargin)
 			r, err := soak.Run(soak.Options{
 				Seed: runSeed, Binary: binary, Dir: dir, FaultDuration: faultDuration, Entries: entries, Upstreams: upstreams, Callers: callers, Out: os.Stderr,
 			})
+			stopWatchdog()
 			if err != nil {
 				return err
 			}
@@ -70,3 +73,18 @@
 		return nil
 	}}
 }
+
+// soakMargin is the time that a run may take beyond that with faults: the start, the
+// recovery and the end.
+const soakMargin = 3 * time.Minute
+
+// startWatchdog ends the program if a run does not end in time. The kernel then kills the
+// entries. It returns a function that stops it.
+func startWatchdog(seed uint64, limit time.Duration) func() bool {
+	timer := time.AfterFunc(limit, func() {
+		fmt.Fprintf(os.Stderr, "soak: seed %d did not end within %v; its goroutines:\n", seed, limit)
+		_ = pprof.Lookup("goroutine").WriteTo(os.Stderr, 1) // The program ends either way.
+		os.Exit(1)
+	})
+	return timer.Stop
+}
--- a/soak/relay.go
+++ b/soak/relay.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -20,6 +21,9 @@
 	wg                              sync.WaitGroup
 }
 
+// acceptPause is the time between two tries to accept a connection.
+const acceptPause = 20 * time.Millisecond
+
 func newRelay(listen, target string) (*relay, error) {
 	l, err := net.Listen("tcp", listen)
 	if err != nil {
@@ -33,17 +37,36 @@
 func (r *relay) accept() {
 	for {
 		c, err := r.listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			time.Sleep(acceptPause) // Such as too many open descriptors; some are closed soon.
+			continue
+		}
 		targetConn, err := net.DialTimeout("tcp", r.target, time.Second)
 		if err != nil {
 			reset(c)
 			continue
 		}
 		r.track(c, targetConn)
-		r.wg.Go(func() { r.copy(c, targetConn, &r.downStalled) })
-		r.wg.Go(func() { r.copy(targetConn, c, &r.upStalled) })
+		var directions sync.WaitGroup
+		directions.Go(func() { r.copy(c, targetConn, &r.downStalled) })
+		directions.Go(func() { r.copy(targetConn, c, &r.upStalled) })
+		r.wg.Go(func() {
+			directions.Wait()
+			r.release(c, targetConn)
+		})
+	}
+}
+
+// release closes the two connections of a pair whose directions have both ended.
+func (r *relay) release(conns ...net.Conn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range conns {
+		_ = c.Close() // It may have been reset.
+		delete(r.conns, c)
 	}
 }
 
