Membership, a connected gossip graph and shared watches of the store

Cause, three parts of one matter: - relay.targets sent to the 24 peers nearest by XOR of a hash: beyond about 50 entries groups formed that never heard each other, so that crash records, bans, drains and configurations from peers stopped at a group's edge. - The number of entries was that of the peers heard, 25 at any size, so that each took too large a share of the retry slack and of an upstream's connections. - Each entry watched the store alone, each second and at each change.

Change: - member: a membership after SWIM: records with a number that only the process raises, passed on with messages that are sent anyway; silence of a neighbour is probed by the entry and by others before it counts as down; a process that hears so of itself refutes it. Neighbours are those next to the entry in a ring and at distances of powers of two: connected at any size, O(log n) steps. - relay is split by noun: messages, events, calls. A full message goes to a third of the neighbours in turn, and to all after a change. - direct: in fleets of 8 entries and more one in each data centre (three in all at least) watches the store. The others rely on what the store told one of them, with its age, passed on with the positions; if that is older than 0.35 of the time within which a change must be in force, an entry calls the store itself. Changes are fetched from a peer as changes after a revision; a registration that lapsed there lapses here too. Copies that differ at one revision are listed again. A watch that returned changes is followed by a pause of 60 ms.

--- a/direct/admin.go
+++ b/direct/admin.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -55,15 +56,21 @@
 		Version: e.rules.Version(), Entries: uint32(e.entryCount()),
 		Dropped: e.droppedLines(), Connections: e.pool.Opened(), Requests: e.active.Load(),
 	}
+	s.Watcher, _ = e.watchRole(now)
+	alive := e.gossiper.Members().Alive(now)
+	watchers := chooseWatchers(alive)
+	for _, m := range alive {
+		s.Members = append(s.Members, &wire.MemberStatus{Address: m.Address, Centre: m.Centre, Watcher: slices.Contains(watchers, m.Address)})
+	}
 	if at := e.configTime.Load(); at != nil {
 		s.Age = now.Sub(*at).Seconds()
 	}
 	for i, c := range e.itemCaches {
 		revision, _ := c.position()
-		lastResponse, downSince := c.storeTimes()
+		_, downSince := c.storeTimes()
 		p := &wire.PrefixStatus{Prefix: e.codec.Prefixes[i], Revision: revision}
-		if !lastResponse.IsZero() {
-			p.Age = now.Sub(lastResponse).Seconds()
+		if age, ok := c.confirmedAge(now); ok {
+			p.Age = age.Seconds()
 		}
 		if !downSince.IsZero() {
 			p.Down = now.Sub(downSince).Seconds()
--- a/direct/cache.go
+++ b/direct/cache.go
@@ -21,15 +21,124 @@
 	items map[string]store.Item
 	// revision is the revision up to which the copy is complete.
 	revision uint64
-	// digest is a hash of the keys and revisions; 0 means that it must be recomputed.
+	// digest is a hash of the keys and revisions.
 	digest uint64
+	// log holds the last changes, complete after logFrom; 0 means that there are none.
+	log     []store.Item
+	logFrom uint64
+	// confirmedAt is the latest time at which the store had nothing newer, as it told this
+	// or another entry.
+	confirmedAt time.Time
+	// differsSince is since when a peer has other items at the same revision.
+	differsSince time.Time
 	// lastResponse is when the store last responded, downSince when it stopped
 	// responding; downSince is zero while it responds.
 	lastResponse time.Time
 	downSince    time.Time
 }
 
-func newItemCache() *itemCache { return &itemCache{items: map[string]store.Item{}} }
+// maxLog bounds the changes that are kept for entries that lag behind.
+const maxLog = 512
+
+// emptyDigest is the digest of no items.
+const emptyDigest = 1
+
+func newItemCache() *itemCache {
+	return &itemCache{items: map[string]store.Item{}, digest: emptyDigest}
+}
+
+// digestOf returns the part of an item in the digest. A sum of these is independent of
+// their order.
+func digestOf(item store.Item) uint64 {
+	var b [8]byte
+	binary.BigEndian.PutUint64(b[:], item.Revision)
+	return xxhash.Sum64String(item.Key + string(b[:]))
+}
+
+func (c *itemCache) put(item store.Item) {
+	if old, ok := c.items[item.Key]; ok {
+		c.digest -= digestOf(old)
+	}
+	c.items[item.Key] = item
+	c.digest += digestOf(item)
+}
+
+func (c *itemCache) remove(key string) {
+	if old, ok := c.items[key]; ok {
+		c.digest -= digestOf(old)
+		delete(c.items, key)
+	}
+}
+
+// appendLog adds a change to the log, and drops the older half if it is full.
+func (c *itemCache) appendLog(item store.Item) {
+	if len(c.log) >= maxLog {
+		for _, old := range c.log[:maxLog/2] {
+			c.logFrom = max(c.logFrom, old.Revision)
+		}
+		c.log = slices.Clone(c.log[maxLog/2:])
+	}
+	c.log = append(c.log, item)
+}
+
+// changesAfter returns the changes after a revision and the revision of the copy, or false
+// if the log does not reach back so far.
+func (c *itemCache) changesAfter(after uint64) ([]store.Item, uint64, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.logFrom == 0 || after < c.logFrom {
+		return nil, 0, false
+	}
+	var items []store.Item
+	for _, item := range c.log {
+		if item.Revision > after {
+			items = append(items, item)
+		}
+	}
+	return items, c.revision, true
+}
+
+// confirm records that the store had nothing newer at a time.
+func (c *itemCache) confirm(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if at.After(c.confirmedAt) {
+		c.confirmedAt = at
+	}
+}
+
+// confirmedAge returns the time since the store had nothing newer, or false if that is not
+// known.
+func (c *itemCache) confirmedAge(now time.Time) (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return max(0, now.Sub(c.confirmedAt)), !c.confirmedAt.IsZero()
+}
+
+// advance records that the copy is complete up to a revision: a peer with the same items
+// is.
+func (c *itemCache) advance(revision uint64) {
+	c.mu.Lock()
+	c.revision = max(c.revision, revision)
+	c.mu.Unlock()
+}
+
+// differs records whether a peer has other items at the same revision, and reports whether
+// that has lasted for a time.
+func (c *itemCache) differs(now time.Time, differs bool, limit time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case !differs:
+		c.differsSince = time.Time{}
+	case c.differsSince.IsZero():
+		c.differsSince = now
+	case now.Sub(c.differsSince) > limit:
+		c.differsSince = time.Time{}
+		return true
+	}
+	return false
+}
 
 func (c *itemCache) setDownSince(since time.Time) {
 	c.mu.Lock()
@@ -63,11 +172,11 @@
 			continue
 		}
 		if item.Deleted {
-			delete(c.items, item.Key)
+			c.remove(item.Key)
 		} else {
-			c.items[item.Key] = item
+			c.put(item)
 		}
-		c.digest = 0
+		c.appendLog(item)
 		applied = append(applied, item)
 	}
 	c.revision = max(c.revision, revision)
@@ -87,18 +196,18 @@
 		if item.Key == "" || ok && cached.Revision >= item.Revision || !ok && revision < c.revision && item.Revision <= c.revision {
 			continue
 		}
-		c.items[item.Key] = item
+		c.put(item)
 		added = append(added, item)
 	}
 	for key, item := range c.items {
 		if !listed[key] && item.Revision <= revision {
-			delete(c.items, key)
+			c.remove(key)
 			removed = append(removed, key)
 		}
 	}
 	slices.Sort(removed)
 	c.revision = max(c.revision, revision)
-	c.digest = 0
+	c.log, c.logFrom = nil, c.revision
 	return added, removed
 }
 
@@ -106,14 +215,6 @@
 func (c *itemCache) position() (revision, digest uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.digest == 0 {
-		c.digest = 1
-		var b [8]byte
-		for key, item := range c.items {
-			binary.BigEndian.PutUint64(b[:], item.Revision)
-			c.digest += xxhash.Sum64String(key + string(b[:])) // A sum is independent of the map's order.
-		}
-	}
 	return c.revision, c.digest
 }
 
--- a/direct/cache_test.go
+++ b/direct/cache_test.go
@@ -104,7 +104,7 @@
 	watch := make(chan struct{})
 	go func() {
 		defer close(watch)
-		e.applyChanges(now, 0, store.Changes{Items: []store.Item{deletedAt("u", 12)}, Revision: 12})
+		e.applyChanges(now, 0, sourceWatch, store.Changes{Items: []store.Item{deletedAt("u", 12)}, Revision: 12})
 	}()
 	select {
 	case <-watch:
--- /dev/null
+++ b/direct/duty.go
@@ -0,0 +1,126 @@
+package direct
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cactustide/member"
+)
+
+const (
+	// minSharingEntries is the number of entries from which on a few of them watch the
+	// store for all.
+	minSharingEntries = 8
+	// minWatchers is the least number of entries that watch the store, those of all data
+	// centres together.
+	minWatchers = 3
+	// freshFraction is the fraction of the time within which a change must be in force
+	// everywhere for which an entry relies on others to hear of it. It is bounded by
+	// minFresh and maxFresh.
+	freshFraction = 0.35
+	minFresh      = 700 * time.Millisecond
+	maxFresh      = 1500 * time.Millisecond
+	// ownWatchInterval is the longest time without a call to the store by an entry that
+	// relies on others.
+	ownWatchInterval = 20 * time.Second
+	// followInterval is the time between two checks whether to rely on others.
+	followInterval = 100 * time.Millisecond
+	// differsLimit is how long a peer may have other items at the same revision before
+	// both list them again.
+	differsLimit = 2 * time.Second
+)
+
+// watchDuty decides whether an entry watches the store or follows others that do.
+type watchDuty struct {
+	// fresh is the age up to which an entry relies on what the store told another one.
+	fresh time.Duration
+	// watchTime is how long a watch waits for a change.
+	watchTime time.Duration
+
+	mu      sync.Mutex
+	version uint64
+	known   bool
+	// watcher is set if the entry watches the store, sharing if others rely on it.
+	watcher, sharing bool
+}
+
+// newWatchDuty returns the duty for a time within which changes must be in force.
+func newWatchDuty(applyTimeout time.Duration) *watchDuty {
+	fresh := min(maxFresh, max(minFresh, time.Duration(freshFraction*float64(applyTimeout))))
+	return &watchDuty{fresh: fresh, watchTime: min(watchTimeout, fresh/2)}
+}
+
+// role reports whether the entry at an address watches the store, and whether others rely on
+// those that do. It changes with the members only.
+func (d *watchDuty) role(now time.Time, members *member.Table, address string) (watcher, sharing bool) {
+	version := members.Version()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.known || d.version != version {
+		alive := members.Alive(now)
+		d.watcher = slices.Contains(chooseWatchers(alive), address)
+		d.sharing = len(alive) >= minSharingEntries
+		d.version, d.known = version, true
+	}
+	return d.watcher, d.sharing
+}
+
+// watchRole returns the role of this entry.
+func (e *Entry) watchRole(now time.Time) (watcher, sharing bool) {
+	return e.duty.role(now, e.gossiper.Members(), e.settings.Load().Peer)
+}
+
+// chooseWatchers returns the addresses of the entries that watch the store: all of a small
+// fleet, else one in each data centre, and more if there are few of these. All entries with
+// the same view of the members choose the same ones; where views differ, more watch.
+func chooseWatchers(members []member.Record) []string {
+	var chosen []string
+	byCentre := map[string][]string{}
+	for _, m := range members {
+		if len(members) < minSharingEntries {
+			chosen = append(chosen, m.Address)
+		}
+		byCentre[m.Centre] = append(byCentre[m.Centre], m.Address)
+	}
+	if len(members) < minSharingEntries {
+		return chosen
+	}
+	perCentre := (minWatchers + len(byCentre) - 1) / len(byCentre)
+	for _, addresses := range byCentre {
+		slices.SortFunc(addresses, func(a, b string) int {
+			return cmp.Or(cmp.Compare(xxhash.Sum64String("watch "+a), xxhash.Sum64String("watch "+b)), cmp.Compare(a, b))
+		})
+		chosen = append(chosen, addresses[:min(perCentre, len(addresses))]...)
+	}
+	return chosen
+}
+
+// followFor returns for how long the entry need not call the store: others watch it, and
+// what the store told them is known here and fresh. It returns 0 if a call is due.
+func (w *prefixWatcher) followFor(now time.Time) time.Duration {
+	e := w.entry
+	if e.relist[w.prefix].Swap(false) {
+		w.log.Warnf("a peer has other items at the same revision; listing again")
+		w.listed = false
+	}
+	age, known := e.itemCaches[w.prefix].confirmedAge(now)
+	watcher, _ := e.watchRole(now)
+	switch {
+	case watcher, !w.listed, !w.downSince.IsZero():
+		return 0
+	case !known, age >= e.duty.fresh, now.Sub(w.lastCall) >= ownWatchInterval:
+		return 0
+	}
+	return min(followInterval, e.duty.fresh-age)
+}
+
+// followJitter spreads the fetches of the entries that follow one watcher.
+const followJitter = 40 * time.Millisecond
+
+// randomJitter returns a time up to followJitter.
+func randomJitter() time.Duration { return rand.N(followJitter) }
--- a/direct/entry.go
+++ b/direct/entry.go
@@ -58,27 +58,32 @@
 // Entry is a running entry: the process that accepts callers' requests and
 // forwards them to upstreams.
 type Entry struct {
-	settings          atomic.Pointer[setup.DirectSettings]
-	headers           HeaderCodec
-	codec             ItemCodec
-	log               *meter.Logger
-	scope             tally.Scope
-	scrapeHandler     fasthttp.RequestHandler
-	store             *store.ListWatch
-	rules             rules.Holder
-	fleet             *fleet.Registry
-	balancer          *place.Balancer
-	pool              *conn.Pool
-	budget            *retry.WindowBudget
-	crashRecords      *retry.CrashRecords
-	aborts            *retry.AbortTracker
-	partRecords       *retry.PartRecords
-	droppedLines      func() int64
-	configTime        atomic.Pointer[time.Time]
-	adminServer       *fasthttp.Server
-	gossiper          *relay.Gossiper
-	itemCaches        []*itemCache
-	lags              []lag
+	settings      atomic.Pointer[setup.DirectSettings]
+	headers       HeaderCodec
+	codec         ItemCodec
+	log           *meter.Logger
+	scope         tally.Scope
+	scrapeHandler fasthttp.RequestHandler
+	store         *store.ListWatch
+	rules         rules.Holder
+	fleet         *fleet.Registry
+	balancer      *place.Balancer
+	pool          *conn.Pool
+	budget        *retry.WindowBudget
+	crashRecords  *retry.CrashRecords
+	aborts        *retry.AbortTracker
+	partRecords   *retry.PartRecords
+	droppedLines  func() int64
+	configTime    atomic.Pointer[time.Time]
+	adminServer   *fasthttp.Server
+	gossiper      *relay.Gossiper
+	itemCaches    []*itemCache
+	lags          []lag
+	// behind has an element when the entry has fallen behind a peer.
+	behind chan struct{}
+	// relist is set, by prefix, when a peer has other items at the same revision.
+	relist            []atomic.Bool
+	duty              *watchDuty
 	cacheStateFetches fetchLimiter
 	bodyMemory        memoryLimiter
 	callerConns       connTracker
@@ -115,8 +120,11 @@
 		droppedLines:  func() int64 { return 0 },
 		bodyMemory:    memoryLimiter{limit: int64(bodyMemoryFraction * float64(s.MemoryBytes))},
 		callerConns:   connTracker{idleSince: map[net.Conn]time.Time{}, awaitingHead: map[*callerConn]struct{}{}, limit: int(callerSocketFraction * float64(s.MaxSockets))},
-		gossiper:      relay.New(s.Name, s.Peer, s.Seeds, process, logger),
+		gossiper:      relay.New(time.Now(), s.Name, s.Centre, s.Peer, s.Seeds, process, logger),
 		lags:          make([]lag, len(codec.Prefixes)),
+		behind:        make(chan struct{}, 1),
+		relist:        make([]atomic.Bool, len(codec.Prefixes)),
+		duty:          newWatchDuty(s.ApplyTimeout),
 	}
 	e.settings.Store(s)
 	for range codec.Prefixes {
@@ -159,7 +167,7 @@
 		cancel()
 		return &Error{Op: "listen", Kind: KindListen, Err: err}
 	}
-	if err := e.gossiper.Start(time.Now()); err != nil {
+	if err := e.gossiper.Start(); err != nil {
 		cancel()
 		_ = e.callerServer.Close() // The first error is the cause.
 		_ = e.readyServer.Close()
@@ -273,11 +281,11 @@
 	}
 }
 
-// updateStoreAge updates the metric of the time since the store last responded.
+// updateStoreAge updates the metric of the time since the store last had nothing newer.
 func (e *Entry) updateStoreAge(now time.Time) {
 	for i, c := range e.itemCaches {
-		if lastResponse, _ := c.storeTimes(); !lastResponse.IsZero() {
-			e.scope.Tagged(map[string]string{"prefix": e.codec.Prefixes[i]}).Gauge("store_age").Update(now.Sub(lastResponse).Seconds())
+		if age, ok := c.confirmedAge(now); ok {
+			e.scope.Tagged(map[string]string{"prefix": e.codec.Prefixes[i]}).Gauge("store_age").Update(age.Seconds())
 		}
 	}
 }
@@ -288,13 +296,14 @@
 	if t == nil {
 		return
 	}
+	watcher, _ := e.watchRole(now)
 	for _, s := range t.Document.Services {
 		estimates := e.balancer.Estimates(s.Name)
 		e.log.With("service", s.Name).With("version", t.Document.Version).
 			With("scale", strconv.FormatFloat(estimates.PrefillScale, 'f', 2, 64)).
 			With("base", estimates.FirstTokenOverhead.Milliseconds()).With("step", estimates.DecodeStep.Microseconds()).With("work", estimates.PlainLatency.Milliseconds()).
 			With("budget", int(e.budget.Balance(now, s.Name, e.entryCount()))).With("entries", e.entryCount()).
-			With("connections", e.pool.Opened()).Infof("status")
+			With("connections", e.pool.Opened()).With("watcher", watcher).With("lost", e.gossiper.Dropped()).Infof("status")
 	}
 }
 
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -10,16 +10,21 @@
 
 	"cactustide/fleet"
 	"cactustide/place"
+	"cactustide/relay"
 	"cactustide/store"
 	"cactustide/wire"
 )
 
 const (
-	// maxLag is how long a peer may be ahead of this entry before its snapshot is
-	// fetched: the store's own response usually arrives within that time.
+	// maxLag is how long a peer may be ahead of an entry that watches the store before its
+	// changes are fetched: the store's own response usually arrives within that time.
 	maxLag = 300 * time.Millisecond
 	// lagCheckInterval is the time between two checks.
 	lagCheckInterval = 100 * time.Millisecond
+	// fetchInterval is the shortest time between two fetches of a prefix.
+	fetchInterval = 80 * time.Millisecond
+	// maxReportedAge bounds the age of a confirmation that is passed on.
+	maxReportedAge = time.Minute
 )
 
 // lag records since when this entry is behind a peer for a prefix, and the peer's
@@ -28,36 +33,54 @@
 	mu      sync.Mutex
 	since   time.Time
 	process uint64
+	// local is set if the peer is in the data centre of this entry.
+	local bool
+	// fetchedAt is when changes were last fetched.
+	fetchedAt time.Time
 }
 
 // positions returns the replication position of each prefix.
-func (e *Entry) positions() []*wire.Position {
+func (e *Entry) positions(now time.Time) []*wire.Position {
 	list := make([]*wire.Position, 0, len(e.itemCaches))
 	for _, c := range e.itemCaches {
 		revision, digest := c.position()
-		list = append(list, &wire.Position{Revision: revision, Digest: digest})
+		p := &wire.Position{Revision: revision, Digest: digest}
+		if age, ok := c.confirmedAge(now); ok && age < maxReportedAge {
+			p.Age = 1 + uint32(age.Milliseconds())
+		}
+		list = append(list, p)
 	}
 	return list
 }
 
-// snapshot returns the cached items under a prefix.
-func (e *Entry) snapshot(prefix int) *wire.SnapshotReply {
+// snapshot returns the cached items under a prefix, or just the changes after a revision if
+// they are known.
+func (e *Entry) snapshot(prefix int, after uint64) *wire.SnapshotReply {
 	if prefix < 0 || prefix >= len(e.itemCaches) {
 		return &wire.SnapshotReply{}
 	}
-	items, revision := e.itemCaches[prefix].all()
-	reply := &wire.SnapshotReply{Revision: revision}
+	items, revision, delta := e.itemCaches[prefix].changesAfter(after)
+	if after == 0 || !delta {
+		items, revision = e.itemCaches[prefix].all()
+		delta = false
+	}
+	reply := &wire.SnapshotReply{Revision: revision, Delta: delta}
+	if age, ok := e.fleet.OutageAge(time.Now()); ok {
+		reply.Outage = 1 + uint32(age.Milliseconds())
+	}
 	for _, item := range items {
-		reply.Items = append(reply.Items, &wire.Item{Key: item.Key, Value: item.Value, Revision: item.Revision})
+		reply.Items = append(reply.Items, &wire.Item{Key: item.Key, Value: item.Value, Revision: item.Revision, Deleted: item.Deleted})
 	}
 	return reply
 }
 
 // handleGossip applies a gossip message of a peer.
 func (e *Entry) handleGossip(now time.Time, msg *wire.Gossip) {
-	for i, p := range msg.GetPositions() {
-		if i < len(e.itemCaches) {
-			e.compareRevision(now, i, p, msg.GetProcess())
+	if len(msg.GetPositions()) > 0 {
+		peer, _ := e.gossiper.Members().Find(msg.GetProcess())
+		local := peer.Centre == e.settings.Load().Centre
+		for i, p := range msg.GetPositions()[:min(len(msg.GetPositions()), len(e.itemCaches))] {
+			e.compareRevision(now, i, p, msg.GetProcess(), local)
 		}
 	}
 	for _, s := range msg.GetSent() {
@@ -86,19 +109,37 @@
 	e.mergeDepartures(now, msg.GetLeaving())
 }
 
-// compareRevision records whether a peer is ahead of this entry for a prefix.
-func (e *Entry) compareRevision(now time.Time, prefix int, p *wire.Position, process uint64) {
-	revision, digest := e.itemCaches[prefix].position()
+// compareRevision records whether a peer is ahead of this entry for a prefix. If it is not,
+// what the store told the peer holds here too.
+func (e *Entry) compareRevision(now time.Time, prefix int, p *wire.Position, process uint64, local bool) {
+	c := e.itemCaches[prefix]
+	revision, digest := c.position()
+	same := p.GetDigest() == digest
+	behind := p.GetRevision() > revision && !same
+	if !behind {
+		if same {
+			c.advance(p.GetRevision())
+		}
+		if p.GetAge() > 0 {
+			c.confirm(now.Add(-time.Duration(p.GetAge()-1) * time.Millisecond))
+		}
+	}
+	if p.GetRevision() == revision && revision > 0 && c.differs(now, !same, differsLimit) {
+		e.relist[prefix].Store(true)
+	}
 	l := &e.lags[prefix]
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
-	case p.GetRevision() > revision && p.GetDigest() != digest:
-		if l.since.IsZero() {
-			l.since = now
+	case behind && l.since.IsZero():
+		l.since, l.process, l.local = now, process, local
+		select {
+		case e.behind <- struct{}{}:
+		default:
 		}
-		l.process = process
-	case l.process == process:
+	case behind && (local || !l.local):
+		l.process, l.local = process, local
+	case !behind && l.process == process:
 		l.since = time.Time{}
 	}
 }
@@ -164,8 +205,8 @@
 	return duration
 }
 
-// catchUp fetches snapshots from peers when the store does not deliver changes in
-// time.
+// catchUp fetches changes from peers: at once if others watch the store for this entry, else
+// when the store does not deliver them in time.
 func (e *Entry) catchUp(ctx context.Context) error {
 	ticker := time.NewTicker(lagCheckInterval)
 	defer ticker.Stop()
@@ -173,45 +214,63 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case now := <-ticker.C:
-			for i := range e.lags {
-				if process, ok := e.lags[i].due(now); ok {
-					e.fetchSnapshot(i, process)
-				}
+		case <-ticker.C:
+		case <-e.behind:
+			sleepContext(ctx, randomJitter())
+		}
+		now := time.Now()
+		limit := maxLag
+		if watcher, _ := e.watchRole(now); !watcher {
+			limit = 0
+		}
+		for i := range e.lags {
+			if process, ok := e.lags[i].due(now, limit); ok {
+				e.fetchSnapshot(i, process)
 			}
 		}
 	}
 }
 
-// due reports whether the entry was behind for longer than maxLag, and returns the
+// due reports whether the entry was behind for longer than a limit, and returns the
 // process to fetch from.
-func (l *lag) due(now time.Time) (uint64, bool) {
+func (l *lag) due(now time.Time, limit time.Duration) (uint64, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.since.IsZero() || now.Sub(l.since) < maxLag {
+	if l.since.IsZero() || now.Sub(l.since) < limit || now.Sub(l.fetchedAt) < fetchInterval {
 		return 0, false
 	}
-	l.since = time.Time{}
+	l.since, l.fetchedAt = time.Time{}, now
 	return l.process, true
 }
 
+// fetchSnapshot fetches from a peer what this entry lacks under a prefix.
 func (e *Entry) fetchSnapshot(prefix int, process uint64) {
 	address := e.gossiper.PeerAddress(process)
 	logger := e.log.With("prefix", e.codec.Prefixes[prefix]).With("peer", address)
-	reply, err := e.gossiper.FetchSnapshot(address, prefix)
+	before, _ := e.itemCaches[prefix].position()
+	reply, err := e.gossiper.FetchSnapshot(address, prefix, before)
 	if err != nil {
-		logger.Warnf("cannot fetch a snapshot from the peer: %v", err)
+		logger.Warnf("cannot fetch changes from the peer: %v", err)
 		return
 	}
 	if revision, _ := e.itemCaches[prefix].position(); reply.GetRevision() <= revision {
 		return
 	}
+	now := time.Now()
+	if reply.GetOutage() > 0 {
+		// The peer may have learned of removals right after an outage, as lapses.
+		e.fleet.RecordOutageAt(now.Add(-time.Duration(reply.GetOutage()-1) * time.Millisecond))
+	}
 	var items []store.Item
 	for _, s := range reply.GetItems() {
-		items = append(items, store.Item{Key: s.GetKey(), Value: s.GetValue(), Revision: s.GetRevision()})
+		items = append(items, store.Item{Key: s.GetKey(), Value: s.GetValue(), Revision: s.GetRevision(), Deleted: s.GetDeleted()})
+	}
+	logger.With("before", before).With("revision", reply.GetRevision()).With("delta", reply.GetDelta()).Infof("fetched %d items from the peer", len(items))
+	if reply.GetDelta() {
+		e.applyChanges(now, prefix, sourcePeer, store.Changes{Items: items, Revision: reply.GetRevision()})
+		return
 	}
-	logger.With("revision", reply.GetRevision()).Infof("fetched a snapshot of %d items from the peer", len(items))
-	e.replaceItems(time.Now(), prefix, sourcePeer, items, reply.GetRevision())
+	e.replaceItems(now, prefix, sourcePeer, items, reply.GetRevision())
 }
 
 // cacheStateInterval is the shortest time between two fetches of cache state.
@@ -248,6 +307,7 @@
 		}
 		e.mergeParts(time.Now(), reply.GetParts(), nil)
 		e.mergeDepartures(time.Now(), reply.GetLeaving())
+		e.gossiper.Members().Merge(time.Now(), relay.DecodeMembers(reply.GetMembers()))
 		n := 0
 		for _, c := range reply.GetCaches() {
 			u, ok := e.fleet.FindHash(c.GetUpstream())
@@ -268,7 +328,7 @@
 
 // cacheState returns the estimated prompt caches and backlogs of the engines.
 func (e *Entry) cacheState(now time.Time) *wire.CacheStateReply {
-	reply := &wire.CacheStateReply{}
+	reply := &wire.CacheStateReply{Members: relay.EncodeMembers(e.gossiper.Members().Alive(now))}
 	for _, r := range e.partRecords.Crashes(now) {
 		reply.Parts = append(reply.Parts, encodePartCrash(now, r))
 	}
--- a/direct/watch.go
+++ b/direct/watch.go
@@ -15,6 +15,9 @@
 	// and the client's margin, which must stay well below the time after which an
 	// entry is expected to be up to date again.
 	watchTimeout = time.Second
+	// changePause is the time between a watch that returned changes and the next one, so
+	// that many changes in a row take few calls.
+	changePause = 60 * time.Millisecond
 	// probeTimeout is how long a watch waits while the store does not respond.
 	probeTimeout = 50 * time.Millisecond
 	// listTimeout bounds a listing; the store responds in milliseconds.
@@ -39,23 +42,34 @@
 func (e *Entry) watchPrefix(ctx context.Context, prefix int) error {
 	w := prefixWatcher{entry: e, prefix: prefix, log: e.log.With("prefix", e.codec.Prefixes[prefix])}
 	for ctx.Err() == nil {
+		if pause := w.followFor(time.Now()); pause > 0 {
+			sleepContext(ctx, pause)
+			continue
+		}
 		began := time.Now()
 		err := e.callWithContext(ctx, w.poll)
 		if ctx.Err() != nil {
 			return nil
 		}
 		w.recordResult(began, time.Now(), err)
-		if err == nil {
-			continue
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(w.delay):
+		switch {
+		case err != nil:
+			sleepContext(ctx, w.delay)
+		case w.changed:
+			sleepContext(ctx, changePause)
 		}
 	}
 	return nil
 }
 
+// sleepContext waits for a time or until ctx ends.
+func sleepContext(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
 // callWithContext runs a call that cannot be canceled. When ctx ends, it returns
 // without waiting for the call.
 func (e *Entry) callWithContext(ctx context.Context, call func() error) error {
@@ -75,6 +89,13 @@
 	prefix   int
 	log      *meter.Logger
 	revision uint64
+	// listed is set once the items were listed since the start, the loss of the store's
+	// history or the finding that a peer has other items.
+	listed bool
+	// changed is set if the last call returned changes.
+	changed bool
+	// lastCall is when the store last answered this entry.
+	lastCall time.Time
 	// downSince is when the store stopped responding; zero while it responds.
 	downSince time.Time
 	// failures counts the failed calls in a row.
@@ -94,17 +115,24 @@
 func (w *prefixWatcher) poll() error {
 	e := w.entry
 	prefix := e.codec.Prefixes[w.prefix]
-	if w.revision == 0 {
+	w.changed = false
+	if !w.listed {
 		items, revision, err := e.store.List(prefix, listTimeout)
 		if err != nil {
 			return err
 		}
 		e.replaceItems(time.Now(), w.prefix, sourceList, items, revision)
-		w.revision = revision
+		w.revision, w.listed = revision, true
 		w.log.With("revision", revision).Infof("listed %d items", len(items))
 		return nil
 	}
+	// Peers may have brought the copy further.
+	position, _ := e.itemCaches[w.prefix].position()
+	w.revision = max(w.revision, position)
 	wait := watchTimeout
+	if _, sharing := e.watchRole(time.Now()); sharing {
+		wait = e.duty.watchTime
+	}
 	if !w.downSince.IsZero() {
 		wait = probeTimeout
 	}
@@ -114,10 +142,11 @@
 	}
 	if changes.Compacted {
 		w.log.With("revision", w.revision).Warnf("store compacted its history; listing again")
-		w.revision = 0
+		w.listed = false
 		return nil
 	}
-	e.applyChanges(time.Now(), w.prefix, changes)
+	w.changed = len(changes.Items) > 0
+	e.applyChanges(time.Now(), w.prefix, sourceWatch, changes)
 	w.revision = max(w.revision, changes.Revision)
 	return nil
 }
@@ -135,6 +164,10 @@
 		w.downSince, w.failures, w.outage, w.backoff = time.Time{}, 0, false, minBackoff
 		w.entry.itemCaches[w.prefix].setDownSince(time.Time{})
 		w.entry.itemCaches[w.prefix].setLastResponse(now)
+		if w.listed {
+			w.entry.itemCaches[w.prefix].confirm(now)
+		}
+		w.lastCall = now
 		return
 	}
 	w.failures++
@@ -165,6 +198,9 @@
 	for _, key := range removed {
 		e.handleItem(now, src, store.Item{Key: key, Revision: revision, Deleted: true})
 	}
+	if len(added)+len(removed) > 0 {
+		e.gossiper.Announce()
+	}
 }
 
 // logKeyless logs the items whose key cannot be read; the copy ignores them.
@@ -176,14 +212,18 @@
 	}
 }
 
-// applyChanges applies the events of a watch.
-func (e *Entry) applyChanges(now time.Time, prefix int, changes store.Changes) {
+// applyChanges applies the events of a watch, or those that a peer passed on.
+func (e *Entry) applyChanges(now time.Time, prefix int, src source, changes store.Changes) {
 	c := e.itemCaches[prefix]
 	c.applying.Lock()
 	defer c.applying.Unlock()
 	e.logKeyless(changes.Items)
-	for _, item := range c.apply(changes.Items, changes.Revision) {
-		e.handleItem(now, sourceWatch, item)
+	applied := c.apply(changes.Items, changes.Revision)
+	for _, item := range applied {
+		e.handleItem(now, src, item)
+	}
+	if len(applied) > 0 {
+		e.gossiper.Announce()
 	}
 }
 
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -20,7 +20,6 @@
 
 type member struct {
 	Upstream
-	hash   uint64
 	health health
 	// lapsed is set when the registration was removed around an outage.
 	lapsed bool
@@ -31,6 +30,8 @@
 type Registry struct {
 	mu      sync.RWMutex
 	members map[string]*member
+	// byHash maps the hash of each id to it.
+	byHash map[uint64]string
 	// leaving holds the processes that said that they are leaving, by the id of the
 	// upstream. They outlast the registration, which an outage may remove and bring back.
 	leaving map[string]Departure
@@ -40,7 +41,7 @@
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
-	return &Registry{members: map[string]*member{}, leaving: map[string]Departure{}}
+	return &Registry{members: map[string]*member{}, byHash: map[uint64]string{}, leaving: map[string]Departure{}}
 }
 
 // Change is the effect of a registration or of its removal.
@@ -68,7 +69,8 @@
 	defer r.mu.Unlock()
 	m, ok := r.members[u.ID]
 	if !ok {
-		r.members[u.ID] = &member{Upstream: u, hash: xxhash.Sum64String(u.ID)}
+		r.members[u.ID] = &member{Upstream: u}
+		r.byHash[xxhash.Sum64String(u.ID)] = u.ID
 		return ChangeNew
 	}
 	// A start time may be lower than that of the process before, if the host's clock was
@@ -113,10 +115,15 @@
 		m.lapsed = true
 		return ChangeLapsed
 	}
-	delete(r.members, id)
+	r.drop(id)
 	return ChangeRemoved
 }
 
+func (r *Registry) drop(id string) {
+	delete(r.members, id)
+	delete(r.byHash, xxhash.Sum64String(id))
+}
+
 // Replace stores a complete list of registrations, removes all others and returns
 // the changes by id.
 func (r *Registry) Replace(now time.Time, list []Upstream) map[string]Change {
@@ -157,6 +164,25 @@
 	r.mu.Unlock()
 }
 
+// RecordOutageAt records that the store failed to answer another entry at a time, or
+// recovered then.
+func (r *Registry) RecordOutageAt(at time.Time) {
+	r.mu.Lock()
+	if at.After(r.lastOutage) {
+		r.lastOutage = at
+	}
+	r.mu.Unlock()
+}
+
+// OutageAge returns the time since the last outage, or false if there was none for so long
+// that a removed registration is not attributed to it.
+func (r *Registry) OutageAge(now time.Time) (time.Duration, bool) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	age := now.Sub(r.lastOutage)
+	return max(0, age), !r.lastOutage.IsZero() && age < outageWindow
+}
+
 // Expire drops the lapsed registrations that were not renewed within the grace
 // period after the store's recovery, and returns their ids, sorted.
 func (r *Registry) Expire(now time.Time) []string {
@@ -169,7 +195,7 @@
 	var removed []string
 	for id, m := range r.members {
 		if m.lapsed {
-			delete(r.members, id)
+			r.drop(id)
 			removed = append(removed, id)
 		}
 	}
@@ -192,12 +218,11 @@
 func (r *Registry) FindHash(hash uint64) (Upstream, bool) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	for _, m := range r.members {
-		if m.hash == hash {
-			return m.Upstream, true
-		}
+	m, ok := r.members[r.byHash[hash]]
+	if !ok {
+		return Upstream{}, false
 	}
-	return Upstream{}, false
+	return m.Upstream, true
 }
 
 // Count returns the number of upstreams, draining and lapsed ones included.
--- /dev/null
+++ b/relay/event.go
@@ -0,0 +1,88 @@
+package relay
+
+import (
+	"slices"
+
+	"cactustide/wire"
+)
+
+// BroadcastSent announces a request sent to an upstream.
+func (g *Gossiper) BroadcastSent(s *wire.SentRequest) {
+	g.broadcast(40+12*len(s.GetHashes()), func(msg *wire.Gossip) { msg.Sent = append(msg.Sent, s) })
+}
+
+// BroadcastEnded announces that the request with this id ended.
+func (g *Gossiper) BroadcastEnded(id uint64) {
+	g.broadcast(6, func(msg *wire.Gossip) { msg.Ended = append(msg.Ended, id) })
+}
+
+// BroadcastSuspicion announces that an upstream is suspected to be unreachable.
+func (g *Gossiper) BroadcastSuspicion(s *wire.Suspicion) {
+	g.broadcast(16, func(msg *wire.Gossip) { msg.Doubts = append(msg.Doubts, s) })
+}
+
+// BroadcastCrash announces a request that was running when an upstream crashed.
+func (g *Gossiper) BroadcastCrash(m *wire.CrashRecord) {
+	g.broadcast(40, func(msg *wire.Gossip) { msg.Marks = append(msg.Marks, m) })
+}
+
+// BroadcastPartCrash announces a request that had not begun when an upstream crashed, by a
+// part of its prompt.
+func (g *Gossiper) BroadcastPartCrash(c *wire.PartCrash) {
+	g.broadcast(16+len(c.GetPart())+len(c.GetCrash()), func(msg *wire.Gossip) { msg.Parts = append(msg.Parts, c) })
+}
+
+// BroadcastPartSuccess announces a whole response by a part of its prompt.
+func (g *Gossiper) BroadcastPartSuccess(s *wire.PartSuccess) {
+	g.broadcast(16+len(s.GetPart()), func(msg *wire.Gossip) { msg.Sound = append(msg.Sound, s) })
+}
+
+// BroadcastLeaving announces that a process of an upstream is leaving.
+func (g *Gossiper) BroadcastLeaving(d *wire.Departure) {
+	g.broadcast(24+len(d.GetUpstream()), func(msg *wire.Gossip) { msg.Leaving = append(msg.Leaving, d) })
+}
+
+// BroadcastOutcome announces how a request ended at an upstream.
+func (g *Gossiper) BroadcastOutcome(upstream uint64, failed bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	i := slices.IndexFunc(g.pending.GetOutcomes(), func(o *wire.Outcome) bool { return o.GetUpstream() == upstream })
+	if i < 0 {
+		i = len(g.pending.GetOutcomes())
+		g.pending.Outcomes = append(g.pending.Outcomes, &wire.Outcome{Upstream: upstream})
+	}
+	if failed {
+		g.pending.Outcomes[i].Failed++
+	} else {
+		g.pending.Outcomes[i].Good++
+	}
+}
+
+// broadcast adds an event of about size bytes to the next message. An event that
+// does not fit is dropped: it would be outdated before it could be sent.
+func (g *Gossiper) broadcast(size int, add func(*wire.Gossip)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.pendingBytes+size > 4*datagramBytes {
+		g.dropped.Add(1)
+		return
+	}
+	g.pendingBytes += size
+	add(&g.pending)
+	g.wake()
+}
+
+// wake makes sendLoop send the next message soon.
+func (g *Gossiper) wake() {
+	select {
+	case g.flush <- struct{}{}:
+	default:
+	}
+}
+
+// Announce makes the next message a full one and sends it soon: this entry's position in the
+// store has changed.
+func (g *Gossiper) Announce() {
+	g.urgent.Store(true)
+	g.wake()
+}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cactustide/fakes"
+	"cactustide/member"
 	"cactustide/meter"
 	"cactustide/wire"
 )
@@ -36,18 +37,18 @@
 
 func newGossiper(t *testing.T, process uint64, seeds ...string) (*Gossiper, *recorder) {
 	t.Helper()
-	g := New("hub", fakes.FreeAddress(), seeds, process, meter.NewLogger(io.Discard, "info", "json", "relay"))
+	g := New(time.Now(), "hub", "c", fakes.FreeAddress(), seeds, process, meter.NewLogger(io.Discard, "info", "json", "relay"))
 	got := &recorder{}
 	g.OnGossip = got.add
 	g.OnPeerUp = func(time.Time, string) {}
-	g.Positions = func() []*wire.Position { return []*wire.Position{{Revision: process}} }
-	g.Snapshot = func(prefix int) *wire.SnapshotReply {
+	g.Positions = func(time.Time) []*wire.Position { return []*wire.Position{{Revision: process}} }
+	g.Snapshot = func(prefix int, _ uint64) *wire.SnapshotReply {
 		return &wire.SnapshotReply{Revision: process, Items: []*wire.Item{{Key: "k", Revision: uint64(prefix)}}}
 	}
 	g.CacheState = func(time.Time) *wire.CacheStateReply {
 		return &wire.CacheStateReply{Caches: []*wire.Cache{{Upstream: process}}}
 	}
-	if err := g.Start(time.Now()); err != nil {
+	if err := g.Start(); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(g.Close)
@@ -82,7 +83,7 @@
 func TestFetchFromPeer(t *testing.T) {
 	a, _ := newGossiper(t, 7)
 	b, _ := newGossiper(t, 8)
-	got, err := b.FetchSnapshot(a.address, 1)
+	got, err := b.FetchSnapshot(a.address, 1, 0)
 	if err != nil || got.GetRevision() != 7 || got.GetItems()[0].GetRevision() != 1 {
 		t.Errorf("got %v, %v, want revision 7 of prefix 1", got, err)
 	}
@@ -90,13 +91,13 @@
 	if err != nil || cacheState.GetCaches()[0].GetUpstream() != 7 {
 		t.Errorf("got %v, %v, want the cache state of a", cacheState, err)
 	}
-	if _, err := b.FetchSnapshot(fakes.FreeAddress(), 0); err == nil {
+	if _, err := b.FetchSnapshot(fakes.FreeAddress(), 0, 0); err == nil {
 		t.Error("got no error from a closed port, want one")
 	}
 }
 
 func TestUpdatePeer(t *testing.T) {
-	g := New("hub", "127.0.0.1:1", nil, 1, meter.NewLogger(io.Discard, "info", "json", "relay"))
+	g := New(time.Unix(1000, 0), "hub", "c", "127.0.0.1:1", nil, 1, meter.NewLogger(io.Discard, "info", "json", "relay"))
 	now := time.Unix(1000, 0)
 	steps := []struct {
 		name         string
@@ -108,7 +109,7 @@
 		{"duplicate", 2, 5, 0, false, false},
 		{"older", 2, 4, 0, false, false},
 		{"next", 2, 6, 0, true, false},
-		{"after the timeout", 2, 7, 2 * peerTimeout, true, true},
+		{"after a silence", 2, 7, 6 * time.Second, true, true},
 		{"after a restart", 3, 1, 0, true, true},
 		{"own message", 1, 9, 0, false, false},
 	}
@@ -121,16 +122,16 @@
 	}
 }
 
-// TestResourceBounds checks that the targets and the pending events of a gossiper
-// do not grow with the number of entries, and that expired peers are removed.
+// TestResourceBounds checks that the targets, the size of a message and the pending events of
+// a gossiper do not grow with the number of entries, and that silent peers are removed.
 func TestResourceBounds(t *testing.T) {
-	g := New("hub", "127.0.0.1:1", nil, 1, meter.NewLogger(io.Discard, "info", "json", "relay"))
+	g := New(time.Unix(1000, 0), "hub", "c", "127.0.0.1:1", nil, 1, meter.NewLogger(io.Discard, "info", "json", "relay"))
 	now := time.Unix(1000, 0)
 	for i := range 1000 {
 		g.updatePeer(now, net.JoinHostPort(net.IPv4(10, 0, byte(i>>8), byte(i)).String(), "7"), &wire.Gossip{Process: uint64(i + 2), Sequence: 1})
 	}
-	if got := len(g.targets(now)); got != fanout {
-		t.Errorf("got %d targets, want %d", got, fanout)
+	if got := len(g.members.Neighbours()); got != member.Fanout {
+		t.Errorf("got %d targets, want %d", got, member.Fanout)
 	}
 	for range 10000 {
 		g.BroadcastEnded(1)
@@ -138,18 +139,38 @@
 	if g.pendingBytes > 4*datagramBytes {
 		t.Errorf("got %d pending bytes, want at most %d", g.pendingBytes, 4*datagramBytes)
 	}
-	g.targets(now.Add(2 * peerExpiry))
-	if got := len(g.peers); got != 0 {
-		t.Errorf("got %d peers after the expiry, want 0", got)
+	if g.Dropped() == 0 {
+		t.Error("got no dropped events counted, want some")
+	}
+	sent, largest := 0, 0
+	g.Positions = func(time.Time) []*wire.Position { return nil }
+	g.Send = func(_ string, data []byte) {
+		sent++
+		largest = max(largest, len(data))
+	}
+	g.BroadcastEnded(1)
+	g.send(now)
+	if want := member.Fanout + maxSuspects + helpers + 1; sent > want || largest > 6*datagramBytes {
+		t.Errorf("got %d datagrams of up to %d bytes, want at most %d of %d", sent, largest, want, 6*datagramBytes)
+	}
+	for _, after := range []time.Duration{2 * time.Second, 4 * time.Second, 2 * time.Minute, 4 * time.Minute} {
+		g.members.Check(now.Add(after))
+	}
+	if got := g.AliveCount(now.Add(4 * time.Minute)); got != 1 {
+		t.Errorf("got %d entries alive after the silence, want this one", got)
+	}
+	if got := len(g.members.Absent()); got != 0 {
+		t.Errorf("got %d absent entries kept, want none", got)
 	}
 }
 
 func FuzzGossip(f *testing.F) {
 	f.Add([]byte("\x0a\x01x"))
 	f.Fuzz(func(_ *testing.T, data []byte) {
-		g := New("hub", "127.0.0.1:1", nil, 1, meter.NewLogger(io.Discard, "info", "json", "relay"))
+		g := New(time.Unix(1000, 0), "hub", "c", "127.0.0.1:1", nil, 1, meter.NewLogger(io.Discard, "info", "json", "relay"))
 		g.OnGossip = func(time.Time, *wire.Gossip) {}
 		g.OnPeerUp = func(time.Time, string) {}
+		g.Send = func(string, []byte) {}
 		g.handleDatagram(time.Unix(1000, 0), "127.0.0.1:2", data)
 	})
 }
--- a/setup/direct.go
+++ b/setup/direct.go
@@ -35,6 +35,9 @@
 	RetryRatio  float64
 	RetryWindow time.Duration
 	RetrySlack  float64
+	// ApplyTimeout is the time within which a change in the store must be in force at all
+	// entries; 0 if unknown.
+	ApplyTimeout time.Duration
 	// RecomputeWindow is the time after the last use of a prompt segment in which it
 	// should not be recomputed.
 	RecomputeWindow time.Duration
@@ -61,6 +64,7 @@
 	c.checkPositive("window", int64(s.RetryWindow))
 	c.checkNotNegative("ratio", s.RetryRatio)
 	c.checkNotNegative("slack", s.RetrySlack)
+	c.checkNotNegative("apply", s.ApplyTimeout.Seconds())
 	return c.violations
 }
 
