place: bounded work for each choice

Cause: a choice computed a forecast for each upstream and walked the runs of each several times, all under one lock; Candidates sorted all ids for each request, and each event of a peer was matched to its upstream by a search.

Above 160 upstreams of a service a choice compares a sample: up to 12 that have a part of the prompt (an index, at most 16 for each segment), 4 homes in a ring of the ids, 24 at random; the load of the service is that of the samples, smoothed. Upstreams are found by hash through an index.

--- a/direct/forward.go
+++ b/direct/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"slices"
@@ -103,13 +104,15 @@
 
 // choose returns the next upstream for a request, or false if there is none.
 func (e *Entry) choose(now time.Time, q *request, state *forwardState) (place.Choice, bool) {
-	candidates := slices.DeleteFunc(e.fleet.Candidates(now, q.service.Name), func(c fleet.Candidate) bool {
-		return slices.Contains(state.tried, c.ID)
-	})
-	if state.unreached >= maxUnreached || len(candidates) == 0 {
+	if state.unreached >= maxUnreached {
 		return place.Choice{}, false
 	}
-	choice, ok := e.balancer.Choose(now, q.service.Name, candidates, &q.placement)
+	candidates, sampled := e.candidates(now, q, state)
+	chooser := e.balancer.Choose
+	if sampled {
+		chooser = e.balancer.ChooseSampled
+	}
+	choice, ok := chooser(now, q.service.Name, candidates, &q.placement)
 	if !ok {
 		return place.Choice{}, false
 	}
@@ -123,6 +126,19 @@
 	return choice, true
 }
 
+// candidates returns the upstreams to compare for a request, without those that were tried:
+// all of a service, or a sample of a large one.
+func (e *Entry) candidates(now time.Time, q *request, state *forwardState) (list []fleet.Candidate, sampled bool) {
+	tried := func(c fleet.Candidate) bool { return slices.Contains(state.tried, c.ID) }
+	if ring := e.fleet.Ring(q.service.Name); len(ring) > place.MaxScanned {
+		ids := e.balancer.Sample(ring, &q.placement, rand.IntN)
+		if list = slices.DeleteFunc(e.fleet.Pick(now, ids), tried); len(list) > 0 {
+			return list, true
+		}
+	}
+	return slices.DeleteFunc(e.fleet.Candidates(now, q.service.Name), tried), false
+}
+
 // tryUpstream sends the request to one upstream and reports whether the request is
 // finished.
 func (e *Entry) tryUpstream(ctx context.Context, w http.ResponseWriter, q *request, state *forwardState, choice place.Choice) bool {
--- a/emul/load.go
+++ b/emul/load.go
@@ -64,6 +64,16 @@
 	// GossipDelay is the time until the other entries receive an entry's messages.
 	GossipDelay time.Duration
 	Spec        EngineSpec
+	// Scale multiplies the arrivals and the shared prefixes; 0 means 1.
+	Scale float64
+}
+
+// scale returns Scale or its default.
+func (o *Options) scale() float64 {
+	if o.Scale == 0 {
+		return 1
+	}
+	return o.Scale
 }
 
 // DefaultOptions returns the options of a short run.
@@ -90,8 +100,8 @@
 	var jobs []*Job
 	for _, c := range Classes() {
 		for at := time.Duration(0); at < o.Duration; {
-			at += time.Duration(random.ExpFloat64() / o.arrivalRate(c, at) * float64(time.Second))
-			prefix := int(math.Pow(random.Float64(), 1.4) * float64(c.Prefixes))
+			at += time.Duration(random.ExpFloat64() / (o.scale() * o.arrivalRate(c, at)) * float64(time.Second))
+			prefix := int(math.Pow(random.Float64(), 1.4) * o.scale() * float64(c.Prefixes))
 			if o.Pattern == PatternHotKey && c.Name == "draft" && random.Float64() < 0.3 {
 				prefix = 0
 			}
--- a/emul/run.go
+++ b/emul/run.go
@@ -28,6 +28,9 @@
 	PolicyBalancer Policy = "balancer"
 	// PolicyNoShedding is place.Balancer without load shedding.
 	PolicyNoShedding Policy = "no shedding"
+	// PolicySampled is PolicyBalancer with a sample of the engines for each choice, as
+	// entries use it where there are many.
+	PolicySampled Policy = "sampled"
 )
 
 // Policies returns the policies that are compared: all but PolicyNoShedding.
@@ -215,12 +218,28 @@
 	return best
 }
 
+// choose returns the choice among the candidates or, with PolicySampled, among some of them.
+func (s *simulation) choose(j *Job, candidates []fleet.Candidate, request *place.Request) place.Choice {
+	b := s.balancers[j.Entry]
+	if s.policy != PolicySampled {
+		choice, _ := b.Choose(s.now, serviceName, candidates, request)
+		return choice
+	}
+	ids := make([]string, 0, len(candidates))
+	for _, c := range candidates {
+		ids = append(ids, c.ID)
+	}
+	sample := b.Sample(fleet.NewRing(ids...), request, s.random.IntN)
+	choice, _ := b.ChooseSampled(s.now, serviceName, slices.DeleteFunc(candidates, func(c fleet.Candidate) bool { return !slices.Contains(sample, c.ID) }), request)
+	return choice
+}
+
 // balance returns the engine that place.Balancer chooses, or nil if it sheds the
 // request, which is retried once.
 func (s *simulation) balance(j *Job, candidates []fleet.Candidate) *fleet.Upstream {
 	request := s.placementRequest(j)
-	choice, _ := s.balancers[j.Entry].Choose(s.now, serviceName, candidates, request)
-	if s.policy == PolicyBalancer && s.balancers[j.Entry].ShouldShed(s.now, serviceName, request, choice.Forecast) {
+	choice := s.choose(j, candidates, request)
+	if s.policy != PolicyNoShedding && s.balancers[j.Entry].ShouldShed(s.now, serviceName, request, choice.Forecast) {
 		s.shed++
 		if !j.retried {
 			j.retried = true
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -32,6 +32,8 @@
 	members map[string]*member
 	// byHash maps the hash of each id to it.
 	byHash map[uint64]string
+	// rings holds the upstreams of each service; see Ring.
+	rings map[string][]Node
 	// leaving holds the processes that said that they are leaving, by the id of the
 	// upstream. They outlast the registration, which an outage may remove and bring back.
 	leaving map[string]Departure
@@ -41,7 +43,7 @@
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
-	return &Registry{members: map[string]*member{}, byHash: map[uint64]string{}, leaving: map[string]Departure{}}
+	return &Registry{members: map[string]*member{}, byHash: map[uint64]string{}, rings: map[string][]Node{}, leaving: map[string]Departure{}}
 }
 
 // Change is the effect of a registration or of its removal.
@@ -71,6 +73,7 @@
 	if !ok {
 		r.members[u.ID] = &member{Upstream: u}
 		r.byHash[xxhash.Sum64String(u.ID)] = u.ID
+		r.addNode(u)
 		return ChangeNew
 	}
 	// A start time may be lower than that of the process before, if the host's clock was
@@ -96,6 +99,10 @@
 	case m.lapsed:
 		change = ChangeRenewed
 	}
+	if u.Service != m.Service {
+		r.dropNode(m.Upstream)
+		r.addNode(u)
+	}
 	m.Upstream = u
 	m.lapsed = false
 	return change
@@ -120,6 +127,7 @@
 }
 
 func (r *Registry) drop(id string) {
+	r.dropNode(r.members[id].Upstream)
 	delete(r.members, id)
 	delete(r.byHash, xxhash.Sum64String(id))
 }
@@ -269,10 +277,7 @@
 	defer r.mu.RUnlock()
 	var list []Candidate
 	for _, m := range r.members {
-		if m.Service != service || m.Draining || m.lapsed && now.Sub(r.lastOutage) >= lapsedGracePeriod {
-			continue
-		}
-		if r.isLeaving(m) || !m.pausedUntil(now).IsZero() {
+		if m.Service != service || !r.accepts(now, m) {
 			continue
 		}
 		list = append(list, r.candidate(now, m))
--- a/place/balancer.go
+++ b/place/balancer.go
@@ -99,6 +99,8 @@
 	// use by the running requests of an engine.
 	decodeSteps  linearRegression
 	plainLatency time.Duration
+	// sampledLoad is the load of the service as its samples show it.
+	sampledLoad smoothedLoad
 	// Numbers of observations of prefillScale, firstTokenOverhead and prefillSlowdown.
 	scaleSamples, overheadSamples, slowdownSamples int
 }
@@ -152,8 +154,10 @@
 	mu        sync.Mutex
 	settings  Settings
 	upstreams map[string]*upstreamState
-	services  map[string]*serviceModel
-	sequence  uint64
+	// holders maps segments to some of the upstreams that have them in their cache.
+	holders  map[uint64][]*upstreamState
+	services map[string]*serviceModel
+	sequence uint64
 	// remoteRuns maps the keys of runs of other entries to their upstreams.
 	remoteRuns map[uint64]*upstreamState
 	// lastSent is when requests of each route tier were last sent, by service.
@@ -181,7 +185,7 @@
 		s.RecomputeWindow = DefaultRecomputeWindow
 	}
 	return &Balancer{
-		settings: s, upstreams: map[string]*upstreamState{}, services: map[string]*serviceModel{},
+		settings: s, upstreams: map[string]*upstreamState{}, holders: map[uint64][]*upstreamState{}, services: map[string]*serviceModel{},
 		remoteRuns: map[uint64]*upstreamState{}, lastSent: map[string]map[int]time.Time{}, lastUsed: map[uint64]time.Time{},
 	}
 }
@@ -236,7 +240,11 @@
 func (b *Balancer) upstream(u fleet.Upstream) *upstreamState {
 	state, ok := b.upstreams[u.ID]
 	if !ok || state.startedAt != u.StartedAt {
+		b.dropUpstream(u.ID)
 		state = newUpstreamState(b.serviceModel(u.Service), u.StartedAt)
+		state.id = u.ID
+		state.onCached = func(hash uint64) { b.addHolder(hash, state) }
+		state.onEvicted = func(hash uint64) { b.dropHolder(hash, state) }
 		b.upstreams[u.ID] = state
 	}
 	return state
@@ -245,7 +253,7 @@
 // Forget drops the state of a removed upstream.
 func (b *Balancer) Forget(id string) {
 	b.mu.Lock()
-	delete(b.upstreams, id)
+	b.dropUpstream(id)
 	b.mu.Unlock()
 }
 
@@ -293,7 +301,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.serviceModel(serviceName)
-	aggregate := b.aggregateLoad(now, candidates, req)
+	return b.cheapest(now, s, candidates, req, b.aggregateLoad(now, candidates, req))
+}
+
+func (b *Balancer) cheapest(now time.Time, s *serviceModel, candidates []fleet.Candidate, req *Request, aggregate aggregateLoad) (Choice, bool) {
 	var best Choice
 	found := false
 	for _, c := range candidates {
@@ -383,6 +394,9 @@
 
 // at returns the fraction, decayed to now.
 func (u *decayedUtil) at(now time.Time) float64 {
+	if u.value == 0 {
+		return 0
+	}
 	return u.value * math.Exp(-float64(now.Sub(u.updatedAt))/float64(u.timeConstant))
 }
 
--- a/place/forecast.go
+++ b/place/forecast.go
@@ -117,10 +117,9 @@
 	gapBefore := s.worstGap(u, req.TokensPerEvent, longest, pending)
 	gapAfter := s.worstGap(u, req.TokensPerEvent, max(longest, req.PromptTokens), pending+prefill)
 	sum := 0.0
-	for _, r := range u.runs {
-		if r.eventGapTarget > 0 {
-			sum += missProbability(gapAfter, r.eventGapTarget, gapUncertainty*r.eventGapTarget.Seconds()) - missProbability(gapBefore, r.eventGapTarget, gapUncertainty*r.eventGapTarget.Seconds())
-		}
+	for _, g := range u.gapRuns {
+		uncertainty := gapUncertainty * g.target.Seconds()
+		sum += float64(g.runs) * (missProbability(gapAfter, g.target, uncertainty) - missProbability(gapBefore, g.target, uncertainty))
 	}
 	return sum
 }
@@ -135,10 +134,8 @@
 	}
 	gap := s.gapUnderPrefill(u, req.TokensPerEvent, max(typicalPreceding, u.longestPendingPrompt()))
 	runsAtRisk := 0.0
-	for _, r := range u.runs {
-		if r.eventGapTarget > 0 {
-			runsAtRisk += missProbability(gap, r.eventGapTarget, gapUncertainty*r.eventGapTarget.Seconds())
-		}
+	for _, g := range u.gapRuns {
+		runsAtRisk += float64(g.runs) * missProbability(gap, g.target, gapUncertainty*g.target.Seconds())
 	}
 	prefillUtil := max(u.prefillUtil.at(now), aggregate.prefillUtil*math.Exp(-runsAtRisk/prefillDiversionRuns))
 	return missProbability(gap, req.EventGapTarget, gapUncertainty*req.EventGapTarget.Seconds()) * min(1, prefillUtil)
--- a/place/queue.go
+++ b/place/queue.go
@@ -65,6 +65,7 @@
 	r.prefillEnd = at
 	r.expectedEnd = at.Add(r.decodeTime)
 	u.lastPrefillEnd = at
+	u.scheduleExpiry(r)
 }
 
 // pendingPrefill returns the prefill time of all queued prompts, without slowdown.
@@ -125,6 +126,9 @@
 const excessTimeConstant = time.Second
 
 func (x decayedDelay) at(now time.Time) time.Duration {
+	if x.delay == 0 {
+		return 0
+	}
 	return time.Duration(float64(x.delay) * math.Exp(-float64(now.Sub(x.updatedAt))/float64(excessTimeConstant)))
 }
 
@@ -150,8 +154,8 @@
 // entry's streams of the tier and those above it that have an event gap target.
 func (u *upstreamState) overdue(now time.Time, tier int) time.Duration {
 	longest := time.Duration(0)
-	for _, r := range u.runs {
-		if !r.remote && r.eventGapTarget > 0 && r.lastEvent.IsZero() && r.prefillLeft == 0 && r.tier <= tier {
+	for _, r := range u.local {
+		if r.eventGapTarget > 0 && r.lastEvent.IsZero() && r.prefillLeft == 0 && r.tier <= tier {
 			longest = max(longest, now.Sub(r.prefillEnd))
 		}
 	}
--- a/place/upstream.go
+++ b/place/upstream.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -60,8 +61,12 @@
 
 // upstreamState is the estimated state of one upstream.
 type upstreamState struct {
+	id    string
 	model *serviceModel
-	runs  map[uint64]*run
+	// onCached and onEvicted are called with the hash of a segment that is added to or
+	// dropped from the cache.
+	onCached, onEvicted func(hash uint64)
+	runs                map[uint64]*run
 	// prefillQueue holds the runs whose prefill isn't done, in the order of
 	// processing, as expected at the time advancedAt.
 	prefillQueue []*run
@@ -77,6 +82,15 @@
 	// running requests use and that can't be evicted.
 	segmentRefs map[uint64]int
 	usedTokens  int
+	// ownTokens is the part of usedTokens that belongs to single requests.
+	ownTokens int
+	// gapRuns counts the runs by their event gap target, without those that have none.
+	gapRuns []gapCount
+	// local holds the runs of this entry.
+	local map[uint64]*run
+	// nextExpiry is the earliest time at which a remote run may expire; zero if none is
+	// known.
+	nextExpiry time.Time
 	// kvCapacity is the size of the KV cache for running requests and cached segments,
 	// tokens; 0 if unknown.
 	kvCapacity   int
@@ -91,10 +105,17 @@
 	startedAt          int64
 }
 
+// gapCount is the number of runs with an event gap target.
+type gapCount struct {
+	target time.Duration
+	runs   int
+}
+
 func newUpstreamState(s *serviceModel, startedAt int64) *upstreamState {
 	return &upstreamState{
-		runs: map[uint64]*run{}, cachedSegments: map[uint64]*list.Element{}, lru: list.New(),
+		runs: map[uint64]*run{}, local: map[uint64]*run{}, cachedSegments: map[uint64]*list.Element{}, lru: list.New(),
 		segmentRefs: map[uint64]int{}, excessDelays: map[int]decayedDelay{}, model: s, startedAt: startedAt,
+		onCached: func(uint64) {}, onEvicted: func(uint64) {},
 		prefillUtil: decayedUtil{timeConstant: prefillUtilTimeConstant}, longPrefillUtil: decayedUtil{timeConstant: longPrefillUtilTimeConstant},
 	}
 }
@@ -102,7 +123,13 @@
 // addRun adds a run and the KV cache that it uses.
 func (u *upstreamState) addRun(id uint64, r *run) {
 	u.runs[id] = r
+	if !r.remote {
+		u.local[id] = r
+	}
+	u.countGap(r.eventGapTarget, 1)
+	u.scheduleExpiry(r)
 	u.usedTokens += r.ownTokens
+	u.ownTokens += r.ownTokens
 	for _, seg := range r.segments {
 		if u.segmentRefs[seg.Hash]++; u.segmentRefs[seg.Hash] == 1 {
 			u.usedTokens += seg.Tokens
@@ -117,8 +144,11 @@
 		return
 	}
 	delete(u.runs, id)
+	delete(u.local, id)
+	u.countGap(r.eventGapTarget, -1)
 	u.dequeuePrefill(r)
 	u.usedTokens -= r.ownTokens
+	u.ownTokens -= r.ownTokens
 	for _, seg := range r.segments {
 		if u.segmentRefs[seg.Hash]--; u.segmentRefs[seg.Hash] == 0 {
 			delete(u.segmentRefs, seg.Hash)
@@ -127,6 +157,29 @@
 	}
 }
 
+func (u *upstreamState) countGap(target time.Duration, n int) {
+	if target <= 0 {
+		return
+	}
+	for i := range u.gapRuns {
+		if u.gapRuns[i].target != target {
+			continue
+		}
+		if u.gapRuns[i].runs += n; u.gapRuns[i].runs == 0 {
+			u.gapRuns = slices.Delete(u.gapRuns, i, i+1)
+		}
+		return
+	}
+	u.gapRuns = append(u.gapRuns, gapCount{target: target, runs: n})
+}
+
+// scheduleExpiry notes when a remote run expires, if its prefill is done.
+func (u *upstreamState) scheduleExpiry(r *run) {
+	if r.remote && r.prefillLeft == 0 && (u.nextExpiry.IsZero() || r.expectedEnd.Before(u.nextExpiry)) {
+		u.nextExpiry = r.expectedEnd
+	}
+}
+
 // requiredTokens returns the KV cache that a request needs beyond what is in use,
 // tokens.
 func (u *upstreamState) requiredTokens(req *Request) int {
@@ -160,6 +213,7 @@
 		}
 		u.cachedSegments[seg.Hash] = u.lru.PushFront(cachedSegment(seg))
 		u.cachedTokens += seg.Tokens
+		u.onCached(seg.Hash)
 	}
 	u.evict()
 }
@@ -170,11 +224,7 @@
 	if u.kvCapacity <= 0 {
 		return
 	}
-	ownTokens := 0
-	for _, r := range u.runs {
-		ownTokens += r.ownTokens
-	}
-	for u.cachedTokens+ownTokens > u.kvCapacity {
+	for u.cachedTokens+u.ownTokens > u.kvCapacity {
 		e := u.lru.Back()
 		if e == nil {
 			return
@@ -183,15 +233,22 @@
 		u.lru.Remove(e)
 		delete(u.cachedSegments, c.Hash)
 		u.cachedTokens -= c.Tokens
+		u.onEvicted(c.Hash)
 	}
 }
 
 // removeExpired removes the remote runs whose expected end has passed.
 func (u *upstreamState) removeExpired(now time.Time) {
 	u.advancePrefills(now)
+	if u.nextExpiry.IsZero() || !now.After(u.nextExpiry) {
+		return
+	}
+	u.nextExpiry = time.Time{}
 	for id, r := range u.runs {
 		if r.remote && r.prefillLeft == 0 && now.After(r.expectedEnd) {
 			u.removeRun(id)
+		} else {
+			u.scheduleExpiry(r)
 		}
 	}
 }
