soak: leaving in responses, pauses, stray refusals, odd registrations

Change: the stand-in replica says in its responses that it is leaving, refuses with Retry-After, repeats refusals on kept connections, and keeps its arrivals; a third list of faults, with a random source of its own, plays these and odd registrations. New checks: no request of an entry reaches a process later than 1 s after that entry passed on that it is leaving; at most two within a pause.

--- a/direct/crash.go
+++ b/direct/crash.go
@@ -142,8 +142,10 @@
 // crashRecordTTL is how long peers keep a crash record.
 const crashRecordTTL = 10 * time.Minute
 
-func (e *Entry) mergeCrashRecord(now time.Time, record *wire.CrashRecord) {
-	e.crashRecords.Merge(now, []retry.CrashRecord{{Fingerprint: record.GetPrint(), Upstream: record.GetUpstream(), Expires: now.Add(time.Duration(record.GetLeft()) * time.Millisecond)}})
+// mergeCrashRecord merges the record of a peer and reports whether it is new.
+func (e *Entry) mergeCrashRecord(now time.Time, record *wire.CrashRecord) bool {
+	expires := now.Add(time.Duration(record.GetLeft()) * time.Millisecond)
+	return len(e.crashRecords.Merge(now, []retry.CrashRecord{{Fingerprint: record.GetPrint(), Upstream: record.GetUpstream(), Expires: expires}})) > 0
 }
 
 func isConnRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"cactustide/fleet"
+	"cactustide/member"
 	"cactustide/place"
 	"cactustide/relay"
 	"cactustide/store"
@@ -89,9 +90,13 @@
 	for _, id := range msg.GetEnded() {
 		e.balancer.FinishRemote(msg.GetProcess() ^ id)
 	}
+	// Where not all entries hear each other, what is new is passed on.
+	spread := e.gossiper.AliveCount(now) > member.Fanout+1
 	for _, d := range msg.GetDoubts() {
 		if u, ok := e.fleet.FindHash(d.GetUpstream()); ok {
-			e.fleet.BanUntil(u.ID, now.Add(time.Duration(d.GetLeft())*time.Millisecond))
+			if e.fleet.BanUntil(now, u.ID, now.Add(time.Duration(d.GetLeft())*time.Millisecond)) && spread {
+				e.gossiper.BroadcastSuspicion(d)
+			}
 			if d.GetRefused() {
 				e.recordCrash(now, u)
 			}
@@ -103,7 +108,9 @@
 		}
 	}
 	for _, m := range msg.GetMarks() {
-		e.mergeCrashRecord(now, m)
+		if e.mergeCrashRecord(now, m) && spread {
+			e.gossiper.BroadcastCrash(m)
+		}
 	}
 	e.mergeParts(now, msg.GetParts(), msg.GetSound())
 	e.mergeDepartures(now, msg.GetLeaving())
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -349,11 +349,16 @@
 	return m.health.banDuration
 }
 
-// BanUntil bans an upstream that another entry suspects. It never shortens a ban.
-func (r *Registry) BanUntil(id string, until time.Time) {
+// BanUntil bans an upstream that another entry suspects, and reports whether it was not
+// banned yet. It never shortens a ban.
+func (r *Registry) BanUntil(now time.Time, id string, until time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if m, ok := r.members[id]; ok && until.After(m.health.bannedUntil) {
-		m.health.bannedUntil = until
+	m, ok := r.members[id]
+	if !ok || !until.After(m.health.bannedUntil) {
+		return false
 	}
+	wasBanned := now.Before(m.health.bannedUntil)
+	m.health.bannedUntil = until
+	return !wasBanned
 }
--- a/retry/crash.go
+++ b/retry/crash.go
@@ -60,11 +60,12 @@
 	c.Merge(now, []CrashRecord{{Fingerprint: fingerprint, Upstream: upstream, Expires: now.Add(crashRecordTTL)}})
 }
 
-// Merge adds the records of another process. Expired records and records that
-// are known already are ignored.
-func (c *CrashRecords) Merge(now time.Time, records []CrashRecord) {
+// Merge adds the records of another process and returns those that are new. Expired records
+// and records that are known already are ignored.
+func (c *CrashRecords) Merge(now time.Time, records []CrashRecord) []CrashRecord {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	var added []CrashRecord
 	for _, record := range records {
 		key := crashKey{fingerprint: record.Fingerprint, upstream: record.Upstream}
 		ttl := min(record.Expires.Sub(now), crashRecordTTL)
@@ -75,9 +76,11 @@
 		// processes would otherwise extend it without limit.
 		if _, ok := c.expires[key]; !ok {
 			c.expires[key] = now.Add(ttl)
+			added = append(added, record)
 		}
 	}
 	c.trim(now)
+	return added
 }
 
 // trim removes expired records, and the oldest ones above maxCrashRecords.
--- a/soak/check.go
+++ b/soak/check.go
@@ -11,7 +11,9 @@
 
 // exchange is a caller's request and the response to it.
 type exchange struct {
-	id        string
+	id string
+	// entry is the number of the entry that got the request.
+	entry     int
 	routeName string
 	status    int
 	body      string
@@ -19,7 +21,10 @@
 	// complete is set when the whole body was read without an error.
 	complete bool
 	sentAt   time.Time
+	endedAt  time.Time
 	duration time.Duration
+	// leaving is the id of an upstream that said in the response that it is leaving.
+	leaving string
 	// cancelled is set when the caller cancels the request early.
 	cancelled bool
 	// undisturbed is set when the caller did not cancel and its entry had no fault,
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -199,6 +199,8 @@
 	if u.draining.Load() {
 		return // It would register as ready in the middle of its drain.
 	}
+	u.changing.Lock()
+	defer u.changing.Unlock()
 	old := u.Replica
 	old.Close()
 	u.relay.resetAll()
@@ -209,6 +211,7 @@
 	}
 	next.Address, next.EventCount = old.Address, old.EventCount
 	u.earlierRuns = append(u.earlierRuns, old.ExecutedRequests()...)
+	u.earlier = append(u.earlier, old)
 	u.Replica = next
 	r.store.Put(next.StoreKey(), next.Registration("ready"))
 }
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -35,9 +35,14 @@
 // removed, and changes right after the store was silent.
 var seriesKinds = []string{"terms", "hups", "changes", "leave", "silent"}
 
+// answerKinds are faults in what upstreams and other writers say: a process that says in its
+// responses that it is leaving, refusals that ask for a pause, refusals repeated on a kept
+// connection, and odd entries among the registrations.
+var answerKinds = []string{"leaving", "pausing", "strayrefusal", "odd"}
+
 // FaultKinds returns every kind of fault.
 func FaultKinds() []string {
-	return slices.Concat(entryFaultKinds, upstreamFaultKinds, storeFaultKinds, seriesKinds)
+	return slices.Concat(entryFaultKinds, upstreamFaultKinds, storeFaultKinds, seriesKinds, answerKinds)
 }
 
 // NewSeries draws the events in series of a run. They have a random source of their own,
@@ -56,6 +61,20 @@
 	return plan
 }
 
+// NewAnswers draws the faults of a run in what upstreams and other writers say, from a random
+// source of their own.
+func NewAnswers(seed uint64, duration time.Duration, upstreams int) []ScheduledFault {
+	random := rand.New(rand.NewPCG(seed, 13))
+	var plan []ScheduledFault
+	for at := time.Duration(700+random.IntN(1000)) * time.Millisecond; at < duration; at += time.Duration(500+random.IntN(1500)) * time.Millisecond {
+		plan = append(plan, ScheduledFault{
+			Offset: at, Kind: answerKinds[random.IntN(len(answerKinds))], Target: random.IntN(upstreams),
+			Duration: time.Duration(300+random.IntN(1500)) * time.Millisecond,
+		})
+	}
+	return plan
+}
+
 // NewPlan draws the faults of a run at random. They come in bursts and overlap. The
 // same arguments give the same plan.
 func NewPlan(seed uint64, duration time.Duration, entries, upstreams int) []ScheduledFault {
--- a/soak/run.go
+++ b/soak/run.go
@@ -88,8 +88,11 @@
 	*stand.Replica
 	relay          *relay
 	replicaAddress string
-	// earlierRuns holds the runs of earlier incarnations.
+	// earlierRuns holds the runs of earlier incarnations, earlier these themselves.
 	earlierRuns []stand.ExecutedRequest
+	earlier     []*stand.Replica
+	// changing is held while the process is replaced.
+	changing sync.Mutex
 	// draining is set from the start of a drain until the upstream is ready again.
 	draining atomic.Bool
 }
@@ -146,6 +149,7 @@
 	}
 	var series sync.WaitGroup
 	series.Go(r.injectSeries)
+	series.Go(r.injectAnswers)
 	r.injectPlan()
 	series.Wait()
 	r.delayedTasks.Wait()
@@ -295,7 +299,7 @@
 	if cancelEarly {
 		time.AfterFunc(30*time.Millisecond, cancel)
 	}
-	ex := exchange{id: id, routeName: routeName, sentAt: time.Now(), cancelled: cancelEarly}
+	ex := exchange{id: id, entry: entry, routeName: routeName, sentAt: time.Now(), cancelled: cancelEarly}
 	req, err := stand.NewRequest(ctx, fmt.Sprintf("%s:%d", r.entries[entry].ip, portListen), stand.RequestSpec{
 		ID: id, Method: http.MethodPost, Host: host, Path: route.Prefix + "x", APIKey: apiKey, Body: "body of " + id,
 		Timeout: route.Timeout + time.Second, Stream: route.Kind == "streaming",
@@ -308,8 +312,12 @@
 		body, readErr := io.ReadAll(resp.Body)
 		_ = resp.Body.Close()
 		ex.status, ex.body, ex.complete, ex.signature = resp.StatusCode, string(body), readErr == nil, stand.Signature(resp.Header)
+		if resp.Header.Get("Server-Leaving") != "" {
+			ex.leaving = resp.Header.Get("Cactustide-Replica-Id")
+		}
 	}
-	ex.duration = time.Since(ex.sentAt)
+	ex.endedAt = time.Now()
+	ex.duration = ex.endedAt.Sub(ex.sentAt)
 	ex.undisturbed = !cancelEarly && r.wasUndisturbed(entry, ex.sentAt, time.Now())
 	r.history.add(ex)
 	fmt.Fprintf(r.historyLog, "%s %s entry %d status %d whole %v after %v\n", ex.sentAt.Format("05.000"), id, entry, ex.status, ex.complete, ex.duration)
@@ -370,12 +378,19 @@
 
 func (r *runner) result() *Result {
 	runs := runsByID{}
+	exchanges := r.history.all()
+	byID := map[string]exchange{}
+	for _, ex := range exchanges {
+		byID[ex.id] = ex
+	}
 	for _, u := range r.upstreams {
 		for _, run := range append(u.earlierRuns, u.ExecutedRequests()...) {
 			runs[run.ID] = append(runs[run.ID], run)
 		}
+		for _, process := range append(u.earlier, u.Replica) {
+			r.checkArrivals(process, byID)
+		}
 	}
-	exchanges := r.history.all()
 	res := &Result{Requests: len(exchanges), Faults: r.faultCounts, Violations: append(r.violations, check(exchanges, runs, r.routes, streamEvents)...)}
 	for _, ex := range exchanges {
 		switch {
