--- a/entry/admin.go
+++ b/entry/admin.go
@@ -113,11 +113,11 @@
 }
 
 // isReady reports whether the entry should receive traffic: it has a configuration, knows an
-// agent, and has tried to reach each agent once, so that it does not refuse requests for a
-// service whose agents it has not asked yet.
+// agent, and has heard of each agent or tried to for a time, so that it does not refuse
+// requests for a service or model whose agents it does not know yet.
 func (e *Entry) isReady() bool {
 	agents, _ := e.table.List()
-	return !e.stopping.Load() && e.configIndex.Load() != nil && len(agents) > 0 && e.agentConns.settled()
+	return !e.stopping.Load() && e.configIndex.Load() != nil && len(agents) > 0 && e.agentConns.settled(time.Now())
 }
 
 func writeJSON(ctx *fasthttp.RequestCtx, value any) {
--- a/entry/conns.go
+++ b/entry/conns.go
@@ -16,6 +16,8 @@
 const (
 	syncTimeout      = time.Second
 	hostPollInterval = 2 * time.Second
+	// firstSyncInterval is the time between syncs with an agent that has not answered yet.
+	firstSyncInterval = 50 * time.Millisecond
 	// agentService is the service name of agents in the platform's list of hosts.
 	agentService = "cactustide-agent"
 )
@@ -29,8 +31,9 @@
 	syncNow chan struct{}
 	// generation of the agent's configuration at the last sync; 0 if unknown.
 	generation uint64
-	// synced is set once the first sync has ended, with or without success.
-	synced atomic.Bool
+	// reached is set once a sync has succeeded.
+	reached  atomic.Bool
+	openedAt time.Time
 }
 
 // agentConns holds the control connections of this entry by the name of the agent.
@@ -42,13 +45,30 @@
 	hostsRead bool
 }
 
-// settled reports whether the entry has asked for the list of hosts and has tried to reach
-// each agent once.
-func (c *agentConns) settled() bool {
+// settlePeriod is how long an entry waits for the first answer of an agent before it counts
+// as ready without it.
+const settlePeriod = 3 * time.Second
+
+// settled reports whether the entry has asked for the list of hosts and knows the state of
+// each agent, or has tried to reach it for settlePeriod.
+func (c *agentConns) settled(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, conn := range c.byName {
-		if !conn.synced.Load() {
+		if !conn.reached.Load() && now.Sub(conn.openedAt) < settlePeriod {
+			return false
+		}
+	}
+	return c.hostsRead
+}
+
+// allReached reports whether each agent has answered once, so that what all of them serve is
+// known.
+func (c *agentConns) allReached() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, conn := range c.byName {
+		if !conn.reached.Load() {
 			return false
 		}
 	}
@@ -126,10 +146,11 @@
 	}
 	connCtx, cancel := context.WithCancel(ctx)
 	c := &agentConn{
-		address: a,
-		client:  peer.NewClient(a.Peer, e.settings.Token, syncTimeout),
-		cancel:  cancel,
-		syncNow: make(chan struct{}, 1),
+		address:  a,
+		client:   peer.NewClient(a.Peer, e.settings.Token, syncTimeout),
+		cancel:   cancel,
+		syncNow:  make(chan struct{}, 1),
+		openedAt: time.Now(),
 	}
 	e.agentConns.byName[a.Name] = c
 	e.agentConns.group.Add(1)
@@ -156,11 +177,15 @@
 	defer ticker.Stop()
 	for {
 		e.syncAgent(c)
-		c.synced.Store(true)
+		var soon <-chan time.Time
+		if !c.reached.Load() && time.Since(c.openedAt) < settlePeriod {
+			soon = time.After(firstSyncInterval) // An agent that starts beside the entry listens soon.
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-soon:
 		case <-c.syncNow:
 		}
 	}
@@ -188,6 +213,7 @@
 	}
 	c.generation = reply.GetState().GetGeneration()
 	e.applyState(reply.GetState())
+	c.reached.Store(true)
 	if len(reply.GetDocument()) > 0 {
 		e.applyDocument(reply.GetDocument())
 	}
--- a/entry/request.go
+++ b/entry/request.go
@@ -74,6 +74,9 @@
 	r.class = class
 	r.requirements = route.Requirements{Model: chat.Model, Tier: class.Tier, Centre: e.settings.Centre, PrefixHash: prefixHash(chat)}
 	if !e.table.Serves(r.requirements) {
+		if !e.agentConns.allReached() {
+			return refusalError("") // An agent that has not answered yet may serve it.
+		}
 		return &APIError{Status: fasthttp.StatusNotFound, Code: "model", Message: "no upstream serves model " + chat.Model, Param: "model", Execution: ExecutionNone}
 	}
 	r.job = &wire.Job{
--- a/entry/suspect_test.go
+++ b/entry/suspect_test.go
@@ -100,22 +100,39 @@
 	}
 }
 
-// TestReadyAfterFirstSync guards against an entry that receives traffic before it has asked
-// each of its agents once: it would refuse requests for a service whose agents it does not
-// know yet.
+// TestReadyAfterFirstSync guards against an entry that receives traffic before it has heard
+// of each of its agents: it would refuse requests for a service or a model whose agents it
+// does not know yet. An agent that does not answer keeps it waiting for a bounded time.
 func TestReadyAfterFirstSync(t *testing.T) {
+	now := time.Now()
 	e := newDispatchEntry("127.0.0.1:1")
-	e.configIndex.Store(newConfigIndex(&config.Document{}))
-	e.table.Update(time.Now(), route.Agent{Name: "other", Model: "birch", Healthy: true})
+	conn := e.agentConns.byName["a"]
+	conn.openedAt = now
+	e.configIndex.Store(newConfigIndex(&config.Document{Classes: []config.Class{{Name: "question", Tier: 1, Wait: time.Second}}}))
+	e.table.Update(now, route.Agent{Name: "other", Model: "spruce", Healthy: true})
 	if e.isReady() {
 		t.Error("got ready before the hosts were listed, want not ready")
 	}
 	e.agentConns.setHostsRead()
 	if e.isReady() {
-		t.Error("got ready before the first sync with an agent, want not ready")
+		t.Error("got ready before the first answer of an agent, want not ready")
 	}
-	e.agentConns.byName["a"].synced.Store(true)
+	ask := func() *APIError {
+		ctx := &fasthttp.RequestCtx{}
+		ctx.Request.SetBodyString(`{"model":"birch","messages":[{"role":"user","content":"x"}]}`)
+		return e.parseChat(ctx, e.configIndex.Load(), &request{id: "r", owner: keyOwner{partner: "p", team: config.Team{Class: "question"}}})
+	}
+	if got := ask(); got == nil || got.Status != fasthttp.StatusServiceUnavailable {
+		t.Errorf("got %+v for a model that an unknown agent may serve, want 503", got)
+	}
+	if !e.agentConns.settled(now.Add(settlePeriod)) {
+		t.Error("got not settled with an agent that does not answer, want settled after a time")
+	}
+	conn.reached.Store(true)
 	if !e.isReady() {
-		t.Error("got not ready after the first sync, want ready")
+		t.Error("got not ready after the first answer, want ready")
+	}
+	if got := ask(); got == nil || got.Status != fasthttp.StatusNotFound {
+		t.Errorf("got %+v for a model that no agent serves, want 404", got)
 	}
 }
--- a/tests/account_test.go
+++ b/tests/account_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -161,6 +162,13 @@
 	t.Logf("%d complete, %d broken by the killed agent, %d not accepted; %d actions refused", load.complete.Load(), load.broken.Load(), load.unaccepted.Load(), refused)
 	if load.unaccepted.Load() > 0 || load.broken.Load() > 8 {
 		t.Errorf("got %d refused and %d broken streams, want none refused and at most the 8 of the killed agent", load.unaccepted.Load(), load.broken.Load())
+		for _, e := range s.entries {
+			for line := range strings.Lines(e.logText()) {
+				if strings.Contains(line, "no agent can take") || strings.Contains(line, "no answer from") {
+					t.Logf("%s: %s", e.name, line)
+				}
+			}
+		}
 	}
 }
 
--- a/tests/stream_test.go
+++ b/tests/stream_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -293,12 +294,17 @@
 					time.Sleep(20 * time.Millisecond)
 					continue
 				}
+				if resp.StatusCode != http.StatusOK {
+					text, _ := io.ReadAll(resp.Body) // The status alone counts.
+					_ = resp.Body.Close()
+					l.unaccepted.Add(1)
+					t.Logf("not accepted: status %d: %.300q", resp.StatusCode, text)
+					time.Sleep(20 * time.Millisecond)
+					continue
+				}
 				got, complete := readStream(resp)
 				_ = resp.Body.Close()
 				switch {
-				case resp.StatusCode != http.StatusOK:
-					l.unaccepted.Add(1)
-					time.Sleep(20 * time.Millisecond)
 				case complete && got == fakes.ExpectedOutput(content):
 					l.complete.Add(1)
 				default:
