direct: three watchers for a fleet, and none before the others are known

Change: three watchers in different data centres; an entry does not watch in the first 0.6 s while it knows too few others; no fetch from a peer begins in a stop.

--- a/direct/duty.go
+++ b/direct/duty.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -16,9 +17,12 @@
 	// minSharingEntries is the number of entries from which on a few of them watch the
 	// store for all.
 	minSharingEntries = 8
-	// minWatchers is the least number of entries that watch the store, those of all data
-	// centres together.
-	minWatchers = 3
+	// watcherCount is the number of entries that watch the store for all, in different data
+	// centres if there are as many.
+	watcherCount = 3
+	// joinPeriod is how long after its start an entry learns of the others before it takes
+	// the role of a watcher.
+	joinPeriod = 600 * time.Millisecond
 	// freshFraction is the fraction of the time within which a change must be in force
 	// everywhere for which an entry relies on others to hear of it. It is bounded by
 	// minFresh and maxFresh.
@@ -76,30 +80,43 @@
 }
 
 // chooseWatchers returns the addresses of the entries that watch the store: all of a small
-// fleet, else one in each data centre, and more if there are few of these. All entries with
-// the same view of the members choose the same ones; where views differ, more watch.
+// fleet, else watcherCount of them, in as many data centres as possible. All entries with the
+// same view of the members choose the same ones; where views differ, more watch.
 func chooseWatchers(members []member.Record) []string {
-	var chosen []string
+	if len(members) < minSharingEntries {
+		addresses := make([]string, 0, len(members))
+		for _, m := range members {
+			addresses = append(addresses, m.Address)
+		}
+		return addresses
+	}
 	byCentre := map[string][]string{}
 	for _, m := range members {
-		if len(members) < minSharingEntries {
-			chosen = append(chosen, m.Address)
-		}
 		byCentre[m.Centre] = append(byCentre[m.Centre], m.Address)
 	}
-	if len(members) < minSharingEntries {
-		return chosen
-	}
-	perCentre := (minWatchers + len(byCentre) - 1) / len(byCentre)
+	centres := slices.Collect(maps.Keys(byCentre))
+	sortByHash(centres)
 	for _, addresses := range byCentre {
-		slices.SortFunc(addresses, func(a, b string) int {
-			return cmp.Or(cmp.Compare(xxhash.Sum64String("watch "+a), xxhash.Sum64String("watch "+b)), cmp.Compare(a, b))
-		})
-		chosen = append(chosen, addresses[:min(perCentre, len(addresses))]...)
+		sortByHash(addresses)
+	}
+	var chosen []string
+	for rank := 0; len(chosen) < watcherCount; rank++ {
+		for _, centre := range centres {
+			if addresses := byCentre[centre]; rank < len(addresses) && len(chosen) < watcherCount {
+				chosen = append(chosen, addresses[rank])
+			}
+		}
 	}
 	return chosen
 }
 
+// sortByHash sorts names in an order that is the same at all entries and evenly spread.
+func sortByHash(names []string) {
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String("watch "+a), xxhash.Sum64String("watch "+b)), cmp.Compare(a, b))
+	})
+}
+
 // followFor returns for how long the entry need not call the store: others watch it, and
 // what the store told them is known here and fresh. It returns 0 if a call is due.
 func (w *prefixWatcher) followFor(now time.Time) time.Duration {
@@ -109,9 +126,10 @@
 		w.listed = false
 	}
 	age, known := e.itemCaches[w.prefix].confirmedAge(now)
-	watcher, _ := e.watchRole(now)
+	watcher, sharing := e.watchRole(now)
+	joining := !sharing && now.Sub(e.createdAt) < joinPeriod
 	switch {
-	case watcher, !w.listed, !w.downSince.IsZero():
+	case watcher && !joining, !w.listed, !w.downSince.IsZero():
 		return 0
 	case !known, age >= e.duty.fresh, now.Sub(w.lastCall) >= ownWatchInterval:
 		return 0
--- a/direct/entry.go
+++ b/direct/entry.go
@@ -84,6 +84,7 @@
 	// relist is set, by prefix, when a peer has other items at the same revision.
 	relist            []atomic.Bool
 	duty              *watchDuty
+	createdAt         time.Time
 	cacheStateFetches fetchLimiter
 	bodyMemory        memoryLimiter
 	callerConns       connTracker
@@ -125,6 +126,7 @@
 		behind:        make(chan struct{}, 1),
 		relist:        make([]atomic.Bool, len(codec.Prefixes)),
 		duty:          newWatchDuty(s.ApplyTimeout),
+		createdAt:     time.Now(),
 	}
 	e.settings.Store(s)
 	for range codec.Prefixes {
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -225,6 +225,9 @@
 		case <-e.behind:
 			sleepContext(ctx, randomJitter())
 		}
+		if e.stopping.Load() {
+			continue // A fetch could outlast the time left.
+		}
 		now := time.Now()
 		limit := maxLag
 		if watcher, _ := e.watchRole(now); !watcher {
@@ -303,7 +306,7 @@
 // fetchCacheState fetches the cache state of a peer that is newly alive: this entry
 // has just started, or the network between the two was interrupted.
 func (e *Entry) fetchCacheState(now time.Time, address string) {
-	if !e.cacheStateFetches.due(now) {
+	if e.stopping.Load() || !e.cacheStateFetches.due(now) {
 		return
 	}
 	e.group.Go(func() error {
