direct: an entry without seeds watches at once; apart ports for test processes

Cause: 16 of 16 runs of ./direct beside load, race detector on, failed in TestDrainingUpstream: the only entry did not watch in the first 0.6 s, and got requests to a draining upstream in that time. One of them, and one run beside these, failed in TestSharedWatch: test processes used the same ports by turns, and an entry greets an address that was one of its fleet within the last minute, so that entries of two test processes joined one fleet.

Change: the wait at the start is for entries that have seeds; the ports of test processes lie 1,009 apart, not 131.

Ruled out: a change of either test.

--- a/direct/duty.go
+++ b/direct/duty.go
@@ -127,7 +127,7 @@
 	}
 	age, known := e.itemCaches[w.prefix].confirmedAge(now)
 	watcher, sharing := e.watchRole(now)
-	joining := !sharing && now.Sub(e.createdAt) < joinPeriod
+	joining := !sharing && len(e.settings.Load().Seeds) > 0 && now.Sub(e.createdAt) < joinPeriod
 	switch {
 	case watcher && !joining, !w.listed, !w.downSince.IsZero():
 		return 0
--- a/fakes/port.go
+++ b/fakes/port.go
@@ -13,7 +13,7 @@
 const (
 	firstPort       = 12000
 	portCount       = 18000
-	portsPerProcess = 131
+	portsPerProcess = 1009
 )
 
 var nextPort atomic.Int64
