member: learning a member's data centre changes the version

Cause: 2 of 16 runs of ./direct beside load failed in TestSharedWatch. With what each entry knew in the message: "got 2 watchers after 5 s, the entries know of [9 9 9 9 9 9 9 9 9]". An entry first heard of a member by a message without its data centre, chose the watchers, and later learnt it from a record, which did not change the version by which the choice is kept. Two watchers instead of three is a loss of redundancy, not of changes: the followers would have called the store themselves.

Change: a record with another data centre changes the version.

Conclusion: traced and fixed.

--- a/direct/share_test.go
+++ b/direct/share_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -29,12 +30,7 @@
 		if e.closed {
 			continue
 		}
-		_, text := s.get(s.t, e, direct.PathStatus)
-		status := &wire.EntryStatus{}
-		if err := protojson.Unmarshal([]byte(text), status); err != nil {
-			s.t.Fatal(err)
-		}
-		if status.GetWatcher() {
+		if s.status(e).GetWatcher() {
 			watchers = append(watchers, e)
 		} else {
 			others = append(others, e)
@@ -43,6 +39,35 @@
 	return watchers, others
 }
 
+// waitForRoles waits until each entry knows all others and three watch.
+func (s *testStack) waitForRoles() {
+	s.t.Helper()
+	var known []int
+	var watchers []*testEntry
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		watchers, _ = s.roles()
+		known = nil
+		for _, e := range s.entries {
+			known = append(known, len(s.status(e).GetMembers()))
+		}
+		if slices.Min(known) == len(s.entries) && len(watchers) == 3 {
+			return
+		}
+	}
+	s.t.Fatalf("got %d watchers after 5 s, the entries know of %v; want 3 and %d", len(watchers), known, len(s.entries))
+}
+
+// status returns the status of an entry.
+func (s *testStack) status(e *testEntry) *wire.EntryStatus {
+	s.t.Helper()
+	_, text := s.get(s.t, e, direct.PathStatus)
+	status := &wire.EntryStatus{}
+	if err := protojson.Unmarshal([]byte(text), status); err != nil {
+		s.t.Fatal(err)
+	}
+	return status
+}
+
 // hasVersion reports whether an entry has a configuration version in force.
 func (s *testStack) hasVersion(e *testEntry, version uint64) bool {
 	_, text := s.get(s.t, e, direct.PathStatus)
@@ -58,7 +83,7 @@
 		spread  = 500 * time.Millisecond
 	)
 	s := newStackOf(t, stackOptions{entries: entries, fullWait: true})
-	waitFor(t, "three entries watch", func() bool { w, _ := s.roles(); return len(w) == 3 })
+	s.waitForRoles()
 	version := uint64(1)
 	change := func(within time.Duration, who []*testEntry) {
 		t.Helper()
--- a/member/member.go
+++ b/member/member.go
@@ -240,10 +240,13 @@
 	if r.Centre == "" {
 		r.Centre = m.Centre
 	}
+	moved := isNews || r.Centre != m.Centre
 	m.Record = r
 	m.advancedAt, m.suspectedAt = now, time.Time{}
-	if isNews {
+	if moved {
 		t.changed()
+	}
+	if isNews {
 		t.announce(m.Address)
 	}
 }
