--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -215,7 +215,7 @@
 
 // recordPause records for how long an upstream that refused the request wants no others.
 func (x *exchange) recordPause(q *request) {
-	if x.resp.StatusCode != http.StatusServiceUnavailable {
+	if x.resp.StatusCode != http.StatusServiceUnavailable && x.resp.StatusCode != http.StatusTooManyRequests {
 		return
 	}
 	logger := x.entry.log.With("request", q.info.ID).With("upstream", x.to.ID)
--- a/direct/leave_test.go
+++ b/direct/leave_test.go
@@ -120,11 +120,14 @@
 	const slack = 30 * time.Millisecond
 	tests := map[string]struct {
 		after string
+		// status of the refusal; 0 means 503.
+		status int
 		// pause is how long no request may arrive, others for how many requests to send.
 		pause time.Duration
 		path  string
 	}{
 		"a second":          {after: "1", pause: time.Second, path: "/book/a"},
+		"429":               {after: "1", status: http.StatusTooManyRequests, pause: time.Second, path: "/book/a"},
 		"a fraction":        {after: "0.7", pause: 700 * time.Millisecond, path: "/book/a"},
 		"resent by entry":   {after: "1.0", pause: time.Second, path: "/read/a"},
 		"very long":         {after: "1e300", pause: 1500 * time.Millisecond, path: "/book/a"},
@@ -145,7 +148,11 @@
 			u := newScriptedUpstream(t, func(c net.Conn, q *http.Request) bool {
 				if refusedAt.IsZero() {
 					refusedAt = time.Now()
-					_, err := io.WriteString(c, withHeader(rawRefusal(requestID(q)), "Retry-After: "+test.after+"\r\n"))
+					refusal := withHeader(rawRefusal(requestID(q)), "Retry-After: "+test.after+"\r\n")
+					if test.status != 0 {
+						refusal = strings.Replace(refusal, "503", strconv.Itoa(test.status), 1)
+					}
+					_, err := io.WriteString(c, refusal)
 					return err == nil
 				}
 				if time.Since(refusedAt) < test.pause-slack {
