--- a/scripts/spec.sh
+++ b/scripts/spec.sh
@@ -50,4 +50,8 @@
 expect pass relay.pml
 expect fail relay.pml -DBROKEN_ADOPT
 expect fail relay.pml -DBROKEN_COMPARE
+expect pass watch.pml
+expect fail watch.pml -DBROKEN_BEHIND
+expect fail watch.pml -DBROKEN_AGE
+expect fail watch.pml -DBROKEN_FOLLOW
 exit "$status"
