--- a/soak/run.go
+++ b/soak/run.go
@@ -312,9 +312,7 @@
 		body, readErr := io.ReadAll(resp.Body)
 		_ = resp.Body.Close()
 		ex.status, ex.body, ex.complete, ex.signature = resp.StatusCode, string(body), readErr == nil, stand.Signature(resp.Header)
-		if resp.Header.Get("Server-Leaving") != "" {
-			ex.leaving = resp.Header.Get("Cactustide-Replica-Id")
-		}
+		ex.leaving = stand.LeavingReplica(resp.Header)
 	}
 	ex.endedAt = time.Now()
 	ex.duration = ex.endedAt.Sub(ex.sentAt)
