--- a/direct/admin_test.go
+++ b/direct/admin_test.go
@@ -63,10 +63,7 @@
 	s := newStack(t, 1)
 	e := s.entries[0]
 	crash := func(r *stand.Replica) {
-		r.SetFault(func(string) stand.Fault {
-			go r.Close()
-			return stand.FaultReset
-		})
+		r.SetFault(func(string) stand.Fault { return stand.FaultCrash })
 	}
 	for i := range 4 {
 		r, err := stand.NewReplica("late-"+string(rune('a'+i)), "desk", "zone-a", "127.0.0.1:0")
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -16,6 +16,7 @@
 func testEntry() (*Entry, *configIndex) {
 	e := &Entry{settings: &setup.Settings{Centre: "c"}, table: route.New(time.Hour)}
 	e.table.Update(time.Now(), route.Agent{Name: "a", Model: "birch", Healthy: true, Slots: 1})
+	e.agentConns.setHostsRead()
 	idx := newConfigIndex(&config.Document{Classes: []config.Class{{Name: "question", Tier: 1, Wait: time.Second}}})
 	return e, idx
 }
