fleet: an outage that a peer tells of does not lengthen a lapse (DRAIN)

Change: an entry that the store turns away tells of no outage with the changes it passes on; what a peer tells sets the end of the grace period once, at the removal, and never later. TestPeerOutage and TestSnapshotOutage (the first fails on the code before by the candidate that stays, the second by the outage told).

--- a/direct/duty_test.go
+++ b/direct/duty_test.go
@@ -103,3 +103,25 @@
 		t.Errorf("got digest %d after the same removal, want %d", got, digest)
 	}
 }
+
+// TestSnapshotOutage: an entry tells of an outage with the changes that it passes on once the
+// store answers it again, and not while it is turned away: it would take each removal for a
+// lapse (DRAIN).
+func TestSnapshotOutage(t *testing.T) {
+	s := newSimulation(t, 1)
+	defer func() {
+		for _, f := range s.close {
+			f()
+		}
+	}()
+	e := s.entries[0]
+	e.fleet.RecordOutage(time.Now())
+	e.itemCaches[1].setDownSince(time.Now())
+	if got := e.snapshot(1, 0).GetOutage(); got != 0 {
+		t.Errorf("got an outage of %d ms told while the store turns the entry away, want none", got)
+	}
+	e.itemCaches[1].setDownSince(time.Time{})
+	if got := e.snapshot(1, 0).GetOutage(); got == 0 {
+		t.Error("got no outage told after the store's return, want one")
+	}
+}
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -66,7 +66,9 @@
 		delta = false
 	}
 	reply := &wire.SnapshotReply{Revision: revision, Delta: delta}
-	if age, ok := e.fleet.OutageAge(time.Now()); ok {
+	// An entry that the store still turns away cannot tell a lapse from a removal.
+	_, downSince := e.itemCaches[prefix].storeTimes()
+	if age, ok := e.fleet.OutageAge(time.Now()); ok && downSince.IsZero() {
 		reply.Outage = 1 + uint32(age.Milliseconds())
 	}
 	for _, item := range items {
@@ -269,7 +271,7 @@
 	now := time.Now()
 	if reply.GetOutage() > 0 {
 		// The peer may have learned of removals right after an outage, as lapses.
-		e.fleet.RecordOutageAt(now.Add(-time.Duration(reply.GetOutage()-1) * time.Millisecond))
+		e.fleet.RecordPeerOutage(now.Add(-time.Duration(reply.GetOutage()-1) * time.Millisecond))
 	}
 	var items []store.Item
 	for _, s := range reply.GetItems() {
--- a/fleet/belief_test.go
+++ b/fleet/belief_test.go
@@ -102,3 +102,33 @@
 		t.Errorf("got %d candidates after a restart, want 1", got)
 	}
 }
+
+// TestPeerOutage guards the grace period of a registration whose removal another entry told of
+// together with an outage of its own: it is not lengthened by what further entries tell, as
+// those that the store turns away would do again and again (DRAIN).
+func TestPeerOutage(t *testing.T) {
+	now := time.Unix(1000, 0)
+	u := Upstream{ID: "u", Service: "s", Address: "10.0.0.1:80", Slots: 1, Sequence: 1, StartedAt: 7, Revision: 1}
+	r := NewRegistry()
+	r.Put(u)
+	r.RecordPeerOutage(now)
+	if got := r.Remove(now.Add(time.Second), "u"); got != ChangeLapsed {
+		t.Fatalf("got change %q right after an outage that a peer told of, want %q", got, ChangeLapsed)
+	}
+	for after := time.Second; after < 4*time.Second; after += 250 * time.Millisecond {
+		r.RecordPeerOutage(now.Add(after))
+		want := 0
+		if after < lapsedGracePeriod {
+			want = 1
+		}
+		if got := len(r.Candidates(now.Add(after), "s")); got != want {
+			t.Errorf("got %d candidates %v after the outage, want %d", got, after, want)
+		}
+	}
+	if got := r.Expire(now.Add(4 * time.Second)); len(got) != 1 {
+		t.Errorf("got %v removed, want the lapsed one", got)
+	}
+	if _, ok := r.OutageAge(now.Add(time.Second)); ok {
+		t.Error("got an outage of this entry, want none: only a peer had one")
+	}
+}
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -21,9 +21,12 @@
 type member struct {
 	Upstream
 	health health
-	// lapsed is set when the registration was removed around an outage.
-	lapsed bool
-	paused pause
+	// lapsed is set when the registration was removed around an outage. lapsedUntil is the
+	// end of its grace period if another entry told of the outage; zero if it was this one's
+	// own, which may go on.
+	lapsed      bool
+	lapsedUntil time.Time
+	paused      pause
 }
 
 // Registry holds the upstreams by id.
@@ -39,6 +42,8 @@
 	leaving map[string]Departure
 	// lastOutage is when the store last failed to respond, or when it recovered.
 	lastOutage time.Time
+	// peerOutage is when it last did so for another entry that told of it.
+	peerOutage time.Time
 }
 
 // NewRegistry returns an empty registry.
@@ -118,8 +123,13 @@
 	if !ok || m.lapsed {
 		return ChangeNone
 	}
-	if !m.Draining && !r.lastOutage.IsZero() && now.Sub(r.lastOutage) < outageWindow {
-		m.lapsed = true
+	own := !r.lastOutage.IsZero() && now.Sub(r.lastOutage) < outageWindow
+	told := !r.peerOutage.IsZero() && now.Sub(r.peerOutage) < outageWindow
+	if !m.Draining && (own || told) {
+		m.lapsed, m.lapsedUntil = true, time.Time{}
+		if !own {
+			m.lapsedUntil = r.peerOutage.Add(lapsedGracePeriod)
+		}
 		return ChangeLapsed
 	}
 	r.drop(id)
@@ -172,17 +182,25 @@
 	r.mu.Unlock()
 }
 
-// RecordOutageAt records that the store failed to answer another entry at a time, or
-// recovered then.
-func (r *Registry) RecordOutageAt(at time.Time) {
+// RecordPeerOutage records that the store recovered for another entry at a time. It never
+// lengthens the grace period of a registration that has lapsed.
+func (r *Registry) RecordPeerOutage(at time.Time) {
 	r.mu.Lock()
-	if at.After(r.lastOutage) {
-		r.lastOutage = at
+	if at.After(r.peerOutage) {
+		r.peerOutage = at
 	}
 	r.mu.Unlock()
 }
 
-// OutageAge returns the time since the last outage, or false if there was none for so long
+// lapseEnded reports whether the grace period of a lapsed registration is over.
+func (r *Registry) lapseEnded(now time.Time, m *member) bool {
+	if m.lapsedUntil.IsZero() {
+		return now.Sub(r.lastOutage) >= lapsedGracePeriod
+	}
+	return !now.Before(m.lapsedUntil)
+}
+
+// OutageAge returns the time since the last outage of this entry, or false if there was none for so long
 // that a removed registration is not attributed to it.
 func (r *Registry) OutageAge(now time.Time) (time.Duration, bool) {
 	r.mu.RLock()
@@ -197,12 +215,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.expireDepartures(now)
-	if now.Sub(r.lastOutage) < lapsedGracePeriod {
-		return nil
-	}
 	var removed []string
 	for id, m := range r.members {
-		if m.lapsed {
+		if m.lapsed && r.lapseEnded(now, m) {
 			r.drop(id)
 			removed = append(removed, id)
 		}
