--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -37,9 +37,10 @@
 	// is expected on its channel; nil means never.
 	doubled func() bool
 	// deadly tells whether the replica crashes when it begins to run a request; nil means
-	// never. It is back after downtime, under its id.
+	// never. It is back after downtime, under its id, or renew puts another in its place.
 	deadly   func(path string) bool
 	downtime time.Duration
+	renew    func()
 	crashes  []time.Time
 	// events and gap describe the streams of an engine; 0 events means a plain service.
 	events int
@@ -184,7 +185,11 @@
 		r.mu.Unlock()
 	}()
 	if r.deadly != nil && r.deadly(q.URL.Path) {
-		go r.restart()
+		if r.renew != nil {
+			go r.renew()
+		} else {
+			go r.restart()
+		}
 		return nil, false
 	}
 	if r.events > 0 {
@@ -227,18 +232,26 @@
 	return append([]run(nil), r.runs...)
 }
 
-// restart crashes the replica and starts it again after its downtime, with the same id and
-// address and a new start time.
-func (r *replica) restart() {
+// fall crashes the replica and records when, and reports whether it had not ended before.
+func (r *replica) fall() bool {
 	r.mu.Lock()
 	if r.closed {
 		r.mu.Unlock()
-		return
+		return false
 	}
 	r.crashes = append(r.crashes, time.Now())
 	r.mu.Unlock()
 	r.rec.add("%s crashes", r.id)
 	r.crash()
+	return true
+}
+
+// restart crashes the replica and starts it again after its downtime, with the same id and
+// address and a new start time.
+func (r *replica) restart() {
+	if !r.fall() {
+		return
+	}
 	time.Sleep(r.downtime)
 	l, err := net.Listen("tcp", r.address)
 	if err != nil {
--- a/review/standin/starved.go
+++ b/review/standin/starved.go
@@ -11,14 +11,11 @@
 const (
 	starvedDuration = 105 * time.Second
 	starvedReplicas = 4
-	// crashGap is the time between two crashes, of one replica of four each, and
-	// crashDowntime how long a replica is away.
-	crashGap      = 2500 * time.Millisecond
-	crashDowntime = 2 * time.Second
-	maxCrashes    = 10
-	heartbeat     = 1200 * time.Millisecond
-	displays      = 24
-	desks         = 32
+	// crashGap is the time between two crashes, of one replica of four each.
+	crashGap   = 2500 * time.Millisecond
+	maxCrashes = 10
+	displays   = 24
+	desks      = 32
 	// readInterval is the time between two requests of a client.
 	readInterval = 250 * time.Millisecond
 )
@@ -32,7 +29,7 @@
 	}
 	defer w.close()
 	for i := range starvedReplicas {
-		if err := w.addReplica(ledgerReplica(fmt.Sprintf("i-%04d", i+1), "")); err != nil {
+		if err := w.addReplica(ledgerReplica(fmt.Sprintf("i-%04d", i+1))); err != nil {
 			return false, err
 		}
 	}
@@ -66,7 +63,7 @@
 	if trouble {
 		for n := range maxCrashes {
 			time.Sleep(crashGap)
-			clients.Go(func() { w.replace(n) })
+			clients.Go(func() { w.renew(w.replicaAt(n), fmt.Sprintf("i-%04d", n+1+starvedReplicas)) })
 		}
 	}
 	clients.Wait()
@@ -85,27 +82,6 @@
 	return share("board") < share("all")/4, nil
 }
 
-// ledgerReplica returns a replica of the plain service.
-func ledgerReplica(id, address string) *replica {
-	return &replica{id: id, address: address, service: "permit-ledger", slots: 6, queue: 24, work: func(string) time.Duration { return ledgerWork }}
-}
-
-// replace crashes the replica that was added as number n and starts another one at its
-// address. The store drops the registration of the first after three heartbeats.
-func (w *world) replace(n int) {
-	w.mu.Lock()
-	old := w.replicas[n]
-	w.mu.Unlock()
-	w.rec.add("%s crashes", old.id)
-	old.crash()
-	time.Sleep(crashDowntime)
-	if err := w.addReplica(ledgerReplica(fmt.Sprintf("i-%04d", n+1+starvedReplicas), old.address)); err != nil {
-		w.rec.say("no replica at %s again: %v", old.address, err)
-	}
-	time.Sleep(3*heartbeat - crashDowntime)
-	w.store.Delete("servers/" + old.id)
-}
-
 // boardSpec is a request for the page that all displays show.
 func boardSpec() spec {
 	return spec{id: newID("board"), method: http.MethodGet, path: "/lookup/board", key: "display-key", limit: 1500 * time.Millisecond}
