direct: a request sent again to one upstream gets a new connection (TWICE)

Cause: after a pause that all upstreams asked for, the request goes to an upstream that had refused it, on the connection of that refusal. A faulty upstream's second copy of the refusal arrives there before the response to the second send, has the same request id, and is taken for that response; the request, which the upstream runs, goes to the other one.

Ruled out: a second refusal of its own (the record has one for each upstream), a response to another request (its id would be skipped). "upstream did not execute the request" has the fields `reused` and `sent` now, and `resends` counts such sends.

Change: a request that was sent to an address before gets a connection that has carried nothing (conn.Pool.Open). At the limit an idle one is closed for it.

Retried and resumed sends go to upstreams that were not tried, or the same way.

--- a/conn/pool.go
+++ b/conn/pool.go
@@ -103,8 +103,19 @@
 		}
 		p.Discard(c)
 	}
-	if !p.reserve(address, maxOpen) {
-		return nil, &Error{Op: "open " + address, Kind: KindFull, Err: errs.New("limit of %d open connections reached", maxOpen)}
+	return p.Open(address, maxOpen)
+}
+
+// Open returns a connection to address that has carried no request. If maxOpen connections
+// to the address are open, an idle one is closed for it; it fails with KindFull if none is
+// idle.
+func (p *Pool) Open(address string, maxOpen int) (*Conn, error) {
+	for !p.reserve(address, maxOpen) {
+		c := p.popIdle(address)
+		if c == nil {
+			return nil, &Error{Op: "open " + address, Kind: KindFull, Err: errs.New("limit of %d open connections reached", maxOpen)}
+		}
+		p.Discard(c)
 	}
 	raw, err := dialUpstream(address)
 	if err != nil {
--- a/conn/pool_test.go
+++ b/conn/pool_test.go
@@ -133,3 +133,34 @@
 		t.Error("got a connection counted after a failed dial, want none")
 	}
 }
+
+// TestOpen checks that a connection which must be new takes the place of an idle one at
+// the limit, and never of one in use.
+func TestOpen(t *testing.T) {
+	address, accepted := listen(t)
+	p := NewPool()
+	defer p.Close()
+	now := time.Unix(1000, 0)
+	first, err := p.Get(now, address, time.Minute, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = (<-accepted).Close() }()
+	var typed *Error
+	if _, err := p.Open(address, 1); !errors.As(err, &typed) || typed.Kind != KindFull {
+		t.Errorf("got error %v with the only connection in use, want %s", err, KindFull)
+	}
+	p.Put(now, first, time.Minute)
+	second, err := p.Open(address, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = (<-accepted).Close() }()
+	defer p.Discard(second)
+	if second == first || second.Reused {
+		t.Error("got the idle connection, want a new one")
+	}
+	if _, err := first.Write([]byte("x")); err == nil {
+		t.Error("got no error on the connection that was replaced, want it closed")
+	}
+}
--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/textproto"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -79,12 +80,7 @@
 
 // send sends a request to an upstream and reads the head of the response.
 func (e *Entry) send(ctx context.Context, q *request, to fleet.Upstream, lastEventID string) (*exchange, *failure) {
-	now := time.Now()
-	maxIdle := nonIdempotentMaxIdle
-	if q.route.AllowsRetry() {
-		maxIdle = time.Minute
-	}
-	c, err := e.pool.Get(now, to.Address, maxIdle, e.connLimit(q))
+	c, err := e.connect(time.Now(), q, to)
 	if err != nil {
 		var typed *conn.Error
 		full := errors.As(err, &typed) && typed.Kind == conn.KindFull
@@ -100,6 +96,7 @@
 		return nil, &failure{err: err}
 	}
 	x.stopCancel = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) }) // Aborts pending reads and writes.
+	q.sentTo = append(q.sentTo, to.Address)
 	x.write(e.encodeHead(q, to, lastEventID), q.body)
 	if err := x.readHead(q); err != nil {
 		x.abort()
@@ -108,6 +105,21 @@
 	return x, nil
 }
 
+// connect returns a connection on which to send a request. A request that was sent to the
+// address before gets a new one: a connection that carried it may still deliver a second
+// copy of the first response, which has the same request id as the next one.
+func (e *Entry) connect(now time.Time, q *request, to fleet.Upstream) (*conn.Conn, error) {
+	if slices.Contains(q.sentTo, to.Address) {
+		e.scope.Counter("resends").Inc(1)
+		return e.pool.Open(to.Address, e.connLimit(q))
+	}
+	maxIdle := nonIdempotentMaxIdle
+	if q.route.AllowsRetry() {
+		maxIdle = time.Minute
+	}
+	return e.pool.Get(now, to.Address, maxIdle, e.connLimit(q))
+}
+
 // connLimit returns this entry's share of the connections that an upstream accepts.
 func (e *Entry) connLimit(q *request) int {
 	maxConns := defaultMaxConns
--- a/direct/forward.go
+++ b/direct/forward.go
@@ -233,7 +233,8 @@
 // one is tried next.
 func (e *Entry) handleNotExecuted(q *request, state *forwardState, x *exchange) bool {
 	q.log.With("request", q.info.ID).With("upstream", x.to.ID).With("status", x.resp.StatusCode).
-		With("running", x.info.Running).With("waiting", x.info.Waiting).Infof("upstream did not execute the request")
+		With("running", x.info.Running).With("waiting", x.info.Waiting).With("reused", x.conn.Reused).With("sent", len(q.sentTo)).
+		Infof("upstream did not execute the request")
 	if x.resp.StatusCode == http.StatusMisdirectedRequest {
 		// The address is in use by another process.
 		e.ban(time.Now(), x.to, nil)
