rules: an empty list of teams lets nobody in, where it let everybody in (ROUTE)

Cause: the decoder kept no difference between a configuration without a list of teams, which needs no keys, and one with an empty list; Table.NeedsKey asked for a key only if there was a team.

Ruled out: keys kept from an older version (they are indexed anew with each), a version that did not arrive (the log has it in force with 0 teams, in time). The line of a configuration in force has the field `keys` now.

Change: rules.Document.KeysRequired, set if the list is there, also empty or null. On a related path, an empty text among a team's keys gave requests without a key an owner; it is not indexed any more.

--- a/direct/watch.go
+++ b/direct/watch.go
@@ -251,7 +251,8 @@
 	now := time.Now()
 	e.configTime.Store(&now)
 	e.scope.Gauge("version").Update(float64(c.Document.Version))
-	e.log.With("version", c.Document.Version).With("source", string(src)).With("revision", revision).Infof("configuration in force: %d routes, %d services, %d teams",
+	e.log.With("version", c.Document.Version).With("source", string(src)).With("revision", revision).
+		With("keys", c.Document.KeysRequired).Infof("configuration in force: %d routes, %d services, %d teams",
 		len(c.Document.Routes), len(c.Document.Services), len(c.Document.Teams))
 }
 
--- a/rules/document.go
+++ b/rules/document.go
@@ -25,8 +25,11 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
-	// Teams hold the API keys. Without teams no route needs a key.
+	// Teams hold the API keys.
 	Teams []Team
+	// KeysRequired is set if the configuration lists teams, also if the list is empty:
+	// routes that are not public need a key then. Without a list no route needs one.
+	KeysRequired bool
 }
 
 // Route maps a host and path prefix to services.
--- a/rules/lines.go
+++ b/rules/lines.go
@@ -33,6 +33,9 @@
 			lines = append(lines, fmt.Sprintf("key %s %016x", t.Name, xxhash.Sum64String(key)))
 		}
 	}
+	if d.KeysRequired {
+		lines = append(lines, "keys required")
+	}
 	slices.Sort(lines)
 	return lines
 }
--- a/rules/table.go
+++ b/rules/table.go
@@ -57,6 +57,9 @@
 	}
 	for _, team := range d.Teams {
 		for _, key := range team.Keys {
+			if key == "" {
+				continue // A request without a key has no owner.
+			}
 			t.keys[key] = Owner{Team: team.Name, Tier: team.Tier, HasTier: team.HasTier}
 		}
 	}
@@ -91,7 +94,9 @@
 }
 
 // NeedsKey reports whether the route's requests must carry an API key.
-func (t *Table) NeedsKey(r *Route) bool { return len(t.Document.Teams) > 0 && !r.Public }
+func (t *Table) NeedsKey(r *Route) bool {
+	return (t.Document.KeysRequired || len(t.Document.Teams) > 0) && !r.Public
+}
 
 // PickService picks one of the route's services by weight; empty if the weights add
 // up to 0. The same id always gets the same service.
