--- a/direct/crash.go
+++ b/direct/crash.go
@@ -9,17 +9,13 @@
 	"github.com/cespare/xxhash/v2"
 
 	"cactustide/fleet"
+	"cactustide/member"
 	"cactustide/retry"
 	"cactustide/wire"
 )
 
-const (
-	// quarantineThreshold is the number of crashed upstreams at which a request is
-	// refused.
-	quarantineThreshold = 3
-	// quarantineRetryAfter is the Retry-After of a request that crashed upstreams.
-	quarantineRetryAfter = 10 * time.Second
-)
+// quarantineRetryAfter is the Retry-After of a request that crashed upstreams.
+const quarantineRetryAfter = 10 * time.Second
 
 // computeFingerprint returns the hash of the method, target, team and body, by
 // which a retry of the request is recognized.
@@ -34,81 +30,142 @@
 	return q.fingerprint
 }
 
-// isQuarantined reports whether the request crashed quarantineThreshold upstreams, or
-// requests with a part of its prompt crash upstreams.
+// encodeFingerprint returns a fingerprint as the subject of evidence.
+func encodeFingerprint(fingerprint uint64) string { return strconv.FormatUint(fingerprint, 16) }
+
+// isQuarantined reports whether the request, or requests with a part of its prompt, crash
+// upstreams.
 func (e *Entry) isQuarantined(now time.Time, q *request) bool {
-	if part, ok := e.partRecords.FindQuarantined(now, q.info.Parts); ok {
+	if part, ok := e.partEvidence.FindQuarantined(now, q.info.Parts...); ok {
 		q.log.With("request", q.info.ID).With("part", part).Infof("refused; requests with this part of the prompt crash upstreams")
 		return true
 	}
-	_, upstreams := e.crashRecords.Evaluate(now, q.computeFingerprint())
-	return len(upstreams) >= quarantineThreshold
+	print, ok := e.requestEvidence.FindQuarantined(now, encodeFingerprint(q.computeFingerprint()))
+	if ok {
+		q.log.With("request", q.info.ID).With("print", print).With("crashes", e.requestEvidence.Count(print)).Infof("refused; this request crashes upstreams")
+	}
+	return ok
 }
 
 // recordCrash records the requests that were running at an upstream when it
 // crashed. It is called when the upstream's port refuses connections.
 func (e *Entry) recordCrash(now time.Time, to fleet.Upstream) {
 	aborted := e.aborts.TakeAborted(now, to.ID)
-	crash := to.ID + "@" + strconv.FormatInt(to.StartedAt, 10)
-	var parts []retry.PartCrash
+	if len(aborted) == 0 {
+		return
+	}
+	var requests, parts []retry.Crash
 	for _, x := range aborted {
-		e.crashRecords.Add(now, x.Fingerprint, to.ID)
-		e.gossiper.BroadcastCrash(&wire.CrashRecord{Print: x.Fingerprint, Upstream: to.ID, Left: int64(crashRecordTTL / time.Millisecond)})
+		upstream := to.ID + "@" + strconv.FormatInt(x.StartedAt, 10)
+		requests = append(requests, retry.Crash{Subject: encodeFingerprint(x.Fingerprint), Upstream: upstream, At: x.At})
 		for _, part := range x.Parts {
-			parts = append(parts, retry.PartCrash{Part: part, Crash: crash, At: x.At})
+			parts = append(parts, retry.Crash{Subject: part, Upstream: upstream, At: x.At})
 		}
 	}
+	e.log.With("upstream", to.ID).With("requests", len(requests)).With("parts", len(parts)).Infof("upstream crashed; recorded the requests running there")
+	e.scope.Counter("crashes").Inc(1)
+	e.addRequestCrashes(now, requests, true)
 	e.addPartCrashes(now, parts)
-	if len(aborted) > 0 {
-		e.log.With("upstream", to.ID).With("requests", len(aborted)).With("parts", len(parts)).Infof("upstream crashed; recorded the requests running there")
+}
+
+// addRequestCrashes records crashes by whole requests. Those that the entry found itself are
+// passed on; so are those of peers where not all entries hear each other, and where the
+// request is not suspected for the first time.
+func (e *Entry) addRequestCrashes(now time.Time, crashes []retry.Crash, own bool) {
+	if len(crashes) == 0 {
+		return
+	}
+	added, refuting := e.requestEvidence.AddCrashes(now, crashes)
+	spread := own || e.gossiper.AliveCount(now) > member.Fanout+1
+	for _, c := range added {
+		n := e.requestEvidence.Count(c.Subject)
+		if spread || n > 1 {
+			e.gossiper.BroadcastCrash(encodeCrash(now, c, true))
+		}
+		if n > 1 {
+			e.log.With("print", c.Subject).With("upstream", c.Upstream).With("crashes", n).With("own", own).Warnf("upstreams crash while they run this request")
+		}
 	}
+	e.broadcastSuccesses(now, refuting, true)
 }
 
 // addPartCrashes records crashes by parts of prompts. What is new is passed on, so that
 // it reaches entries whose datagram was lost or that get none from its first sender.
-func (e *Entry) addPartCrashes(now time.Time, records []retry.PartCrash) {
-	if len(records) == 0 {
+func (e *Entry) addPartCrashes(now time.Time, crashes []retry.Crash) {
+	if len(crashes) == 0 {
 		return
 	}
-	added, refuting := e.partRecords.AddCrashes(now, records)
-	for _, r := range added {
-		e.gossiper.BroadcastPartCrash(encodePartCrash(now, r))
-		if part, ok := e.partRecords.FindQuarantined(now, []string{r.Part}); ok {
-			e.log.With("part", part).With("crash", r.Crash).Warnf("requests with this part of the prompt crash upstreams; refusing them")
+	added, refuting := e.partEvidence.AddCrashes(now, crashes)
+	for _, c := range added {
+		e.gossiper.BroadcastCrash(encodeCrash(now, c, false))
+		if part, ok := e.partEvidence.FindQuarantined(now, c.Subject); ok {
+			e.log.With("part", part).With("crash", c.Upstream).Warnf("requests with this part of the prompt crash upstreams; refusing them")
 		}
 	}
-	e.broadcastSuccesses(now, refuting)
+	e.broadcastSuccesses(now, refuting, false)
 }
 
-// recordSuccess records a whole response: the parts of its prompt crash no upstreams.
-func (e *Entry) recordSuccess(now time.Time, q *request) {
+// recordRun records that an upstream ran the request to the end of its response: the request
+// does not crash upstreams. A response that ends with its connection shows no such thing.
+func (e *Entry) recordRun(now time.Time, q *request, x *exchange) {
+	if isUnframed(x.resp) {
+		return
+	}
+	e.broadcastSuccesses(now, e.requestEvidence.AddSuccess(now, []string{encodeFingerprint(q.computeFingerprint())}), true)
+}
+
+// recordSuccess records a whole successful response: the parts of its prompt crash no
+// upstreams either.
+func (e *Entry) recordSuccess(now time.Time, q *request, x *exchange) {
+	e.recordRun(now, q, x)
 	if len(q.info.Parts) > 0 {
-		e.broadcastSuccesses(now, e.partRecords.AddSuccess(now, q.info.Parts))
+		e.broadcastSuccesses(now, e.partEvidence.AddSuccess(now, q.info.Parts), false)
 	}
 }
 
-func (e *Entry) broadcastSuccesses(now time.Time, list []retry.PartSuccess) {
+func (e *Entry) broadcastSuccesses(now time.Time, list []retry.Success, whole bool) {
 	for _, s := range list {
-		e.gossiper.BroadcastPartSuccess(&wire.PartSuccess{Part: s.Part, Ago: max(0, now.Sub(s.At).Milliseconds())})
+		e.gossiper.BroadcastSuccess(&wire.Success{Subject: s.Subject, Ago: max(0, now.Sub(s.At).Milliseconds()), Whole: whole})
 	}
 }
 
-// mergeParts merges the records of a peer.
-func (e *Entry) mergeParts(now time.Time, crashes []*wire.PartCrash, successes []*wire.PartSuccess) {
-	var records []retry.PartCrash
+// mergeEvidence merges what a peer knows about requests and parts that crash upstreams.
+func (e *Entry) mergeEvidence(now time.Time, crashes []*wire.Crash, successes []*wire.Success) {
+	var requests, parts []retry.Crash
 	for _, c := range crashes {
-		records = append(records, retry.PartCrash{Part: c.GetPart(), Crash: c.GetCrash(), At: timeAgo(now, c.GetAgo())})
+		crash := retry.Crash{Subject: c.GetSubject(), Upstream: c.GetUpstream(), At: timeAgo(now, c.GetAgo())}
+		if c.GetWhole() {
+			requests = append(requests, crash)
+		} else {
+			parts = append(parts, crash)
+		}
 	}
-	e.addPartCrashes(now, records)
-	var list []retry.PartSuccess
+	e.addRequestCrashes(now, requests, false)
+	e.addPartCrashes(now, parts)
 	for _, s := range successes {
-		list = append(list, retry.PartSuccess{Part: s.GetPart(), At: timeAgo(now, s.GetAgo())})
+		success := []retry.Success{{Subject: s.GetSubject(), At: timeAgo(now, s.GetAgo())}}
+		if s.GetWhole() {
+			e.broadcastSuccesses(now, e.requestEvidence.AddSuccesses(now, success), true)
+		} else {
+			e.broadcastSuccesses(now, e.partEvidence.AddSuccesses(now, success), false)
+		}
+	}
+}
+
+// encodeEvidence returns the crashes that are known, for a peer that has just started.
+func (e *Entry) encodeEvidence(now time.Time) []*wire.Crash {
+	var list []*wire.Crash
+	for _, c := range e.requestEvidence.Crashes(now) {
+		list = append(list, encodeCrash(now, c, true))
+	}
+	for _, c := range e.partEvidence.Crashes(now) {
+		list = append(list, encodeCrash(now, c, false))
 	}
-	e.broadcastSuccesses(now, e.partRecords.AddSuccesses(now, list))
+	return list
 }
 
-func encodePartCrash(now time.Time, r retry.PartCrash) *wire.PartCrash {
-	return &wire.PartCrash{Part: r.Part, Crash: r.Crash, Ago: max(0, now.Sub(r.At).Milliseconds())}
+func encodeCrash(now time.Time, c retry.Crash, whole bool) *wire.Crash {
+	return &wire.Crash{Subject: c.Subject, Upstream: c.Upstream, Ago: max(0, now.Sub(c.At).Milliseconds()), Whole: whole}
 }
 
 func timeAgo(now time.Time, milliseconds int64) time.Time {
@@ -116,20 +173,22 @@
 }
 
 // recordAbort records that the exchange of a request was aborted, and whether its response
-// had begun. If it had not, or an earlier exchange of the request was aborted too, it opens
-// a connection to find out whether the upstream crashed.
+// had begun. It opens a connection to find out whether the upstream crashed, unless one is
+// being opened.
 func (e *Entry) recordAbort(now time.Time, q *request, to fleet.Upstream, begun bool) {
 	e.recordOutcome(now, to, true)
-	var parts []string
+	x := retry.Abort{StartedAt: to.StartedAt, Fingerprint: q.computeFingerprint()}
 	if !begun {
-		parts = q.info.Parts
+		x.Parts = q.info.Parts
 	}
-	if repeated := e.aborts.Record(now, to.ID, q.computeFingerprint(), parts); !repeated && len(parts) == 0 {
+	e.aborts.Record(now, to.ID, x)
+	if _, probing := e.probing.LoadOrStore(to.ID, true); probing {
 		return
 	}
 	limit := e.connLimit(q)
 	e.group.Go(func() error {
-		c, err := e.pool.Get(time.Now(), to.Address, 0, limit)
+		c, err := e.pool.Open(to.Address, limit)
+		e.probing.Delete(to.ID)
 		if err == nil {
 			e.pool.Put(time.Now(), c, defaultIdleTimeout)
 		} else if isConnRefused(err) {
@@ -139,13 +198,4 @@
 	})
 }
 
-// crashRecordTTL is how long peers keep a crash record.
-const crashRecordTTL = 10 * time.Minute
-
-// mergeCrashRecord merges the record of a peer and reports whether it is new.
-func (e *Entry) mergeCrashRecord(now time.Time, record *wire.CrashRecord) bool {
-	expires := now.Add(time.Duration(record.GetLeft()) * time.Millisecond)
-	return len(e.crashRecords.Merge(now, []retry.CrashRecord{{Fingerprint: record.GetPrint(), Upstream: record.GetUpstream(), Expires: expires}})) > 0
-}
-
 func isConnRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
--- a/direct/entry.go
+++ b/direct/entry.go
@@ -70,15 +70,18 @@
 	balancer      *place.Balancer
 	pool          *conn.Pool
 	budget        *retry.WindowBudget
-	crashRecords  *retry.CrashRecords
 	aborts        *retry.AbortTracker
-	partRecords   *retry.PartRecords
-	droppedLines  func() int64
-	configTime    atomic.Pointer[time.Time]
-	adminServer   *fasthttp.Server
-	gossiper      *relay.Gossiper
-	itemCaches    []*itemCache
-	lags          []lag
+	// requestEvidence and partEvidence hold what crashes upstreams; probing has the ids of
+	// the upstreams to which a connection is being opened after an aborted exchange.
+	requestEvidence *retry.Evidence
+	partEvidence    *retry.Evidence
+	probing         sync.Map
+	droppedLines    func() int64
+	configTime      atomic.Pointer[time.Time]
+	adminServer     *fasthttp.Server
+	gossiper        *relay.Gossiper
+	itemCaches      []*itemCache
+	lags            []lag
 	// behind has an element when the entry has fallen behind a peer.
 	behind chan struct{}
 	// relist is set, by prefix, when a peer has other items at the same revision.
@@ -105,28 +108,28 @@
 func New(s *setup.DirectSettings, headers HeaderCodec, codec ItemCodec, client *store.ListWatch, logger *meter.Logger, m *meter.Metrics) *Entry {
 	process := rand.Uint64()
 	e := &Entry{
-		headers:       headers,
-		codec:         codec,
-		log:           logger,
-		scope:         m.Scope,
-		scrapeHandler: m.ScrapeHandler,
-		store:         client,
-		fleet:         fleet.NewRegistry(),
-		balancer:      place.New(place.Settings{RecomputeWindow: s.RecomputeWindow}),
-		pool:          conn.NewPool(),
-		budget:        retry.NewWindowBudget(s.RetryRatio, s.RetrySlack, s.RetryWindow),
-		crashRecords:  retry.NewCrashRecords(),
-		aborts:        retry.NewAbortTracker(),
-		partRecords:   retry.NewPartRecords(),
-		droppedLines:  func() int64 { return 0 },
-		bodyMemory:    memoryLimiter{limit: int64(bodyMemoryFraction * float64(s.MemoryBytes))},
-		callerConns:   connTracker{idleSince: map[net.Conn]time.Time{}, awaitingHead: map[*callerConn]struct{}{}, limit: int(callerSocketFraction * float64(s.MaxSockets))},
-		gossiper:      relay.New(time.Now(), s.Name, s.Centre, s.Peer, s.Seeds, process, logger),
-		lags:          make([]lag, len(codec.Prefixes)),
-		behind:        make(chan struct{}, 1),
-		relist:        make([]atomic.Bool, len(codec.Prefixes)),
-		duty:          newWatchDuty(s.ApplyTimeout),
-		createdAt:     time.Now(),
+		headers:         headers,
+		codec:           codec,
+		log:             logger,
+		scope:           m.Scope,
+		scrapeHandler:   m.ScrapeHandler,
+		store:           client,
+		fleet:           fleet.NewRegistry(),
+		balancer:        place.New(place.Settings{RecomputeWindow: s.RecomputeWindow}),
+		pool:            conn.NewPool(),
+		budget:          retry.NewWindowBudget(s.RetryRatio, s.RetrySlack, s.RetryWindow),
+		aborts:          retry.NewAbortTracker(),
+		requestEvidence: retry.NewRequestEvidence(),
+		partEvidence:    retry.NewPartEvidence(),
+		droppedLines:    func() int64 { return 0 },
+		bodyMemory:      memoryLimiter{limit: int64(bodyMemoryFraction * float64(s.MemoryBytes))},
+		callerConns:     connTracker{idleSince: map[net.Conn]time.Time{}, awaitingHead: map[*callerConn]struct{}{}, limit: int(callerSocketFraction * float64(s.MaxSockets))},
+		gossiper:        relay.New(time.Now(), s.Name, s.Centre, s.Peer, s.Seeds, process, logger),
+		lags:            make([]lag, len(codec.Prefixes)),
+		behind:          make(chan struct{}, 1),
+		relist:          make([]atomic.Bool, len(codec.Prefixes)),
+		duty:            newWatchDuty(s.ApplyTimeout),
+		createdAt:       time.Now(),
 	}
 	e.settings.Store(s)
 	for range codec.Prefixes {
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -109,12 +109,7 @@
 			e.fleet.RecordOutcomes(now, u.ID, int(o.GetGood()), int(o.GetFailed()))
 		}
 	}
-	for _, m := range msg.GetMarks() {
-		if e.mergeCrashRecord(now, m) && spread {
-			e.gossiper.BroadcastCrash(m)
-		}
-	}
-	e.mergeParts(now, msg.GetParts(), msg.GetSound())
+	e.mergeEvidence(now, msg.GetCrashes(), msg.GetSound())
 	e.mergeDepartures(now, msg.GetLeaving())
 }
 
@@ -317,7 +312,7 @@
 			e.log.With("peer", address).Warnf("cannot fetch cache state from the peer: %v", err)
 			return nil
 		}
-		e.mergeParts(time.Now(), reply.GetParts(), nil)
+		e.mergeEvidence(time.Now(), reply.GetCrashes(), nil)
 		e.mergeDepartures(time.Now(), reply.GetLeaving())
 		e.gossiper.Members().Merge(time.Now(), relay.DecodeMembers(reply.GetMembers()))
 		n := 0
@@ -340,10 +335,7 @@
 
 // cacheState returns the estimated prompt caches and backlogs of the engines.
 func (e *Entry) cacheState(now time.Time) *wire.CacheStateReply {
-	reply := &wire.CacheStateReply{Members: relay.EncodeMembers(e.gossiper.Members().Alive(now))}
-	for _, r := range e.partRecords.Crashes(now) {
-		reply.Parts = append(reply.Parts, encodePartCrash(now, r))
-	}
+	reply := &wire.CacheStateReply{Members: relay.EncodeMembers(e.gossiper.Members().Alive(now)), Crashes: e.encodeEvidence(now)}
 	for _, d := range e.fleet.Departures() {
 		reply.Leaving = append(reply.Leaving, encodeDeparture(now, d))
 	}
--- a/direct/response.go
+++ b/direct/response.go
@@ -50,10 +50,12 @@
 	if x.resp.StatusCode < http.StatusInternalServerError {
 		e.recordOutcome(time.Now(), x.to, false)
 	}
-	if complete && x.resp.StatusCode == http.StatusOK {
-		e.recordSuccess(time.Now(), q)
-	}
 	if complete {
+		if x.resp.StatusCode == http.StatusOK {
+			e.recordSuccess(time.Now(), q, x)
+		} else {
+			e.recordRun(time.Now(), q, x)
+		}
 		x.finish()
 		copyHead(w, x, len(data))
 		_, err = w.Write(data)
@@ -71,6 +73,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	x.finish()
+	e.recordRun(time.Now(), q, x)
 	e.logResult(q, x.resp.StatusCode, "answered", nil)
 	return true
 }
@@ -243,7 +246,7 @@
 	now := time.Now()
 	e.recordOutcome(now, x.to, false)
 	if count > 0 {
-		e.recordSuccess(now, q)
+		e.recordSuccess(now, q, x)
 	}
 	e.logResult(q, http.StatusOK, outcomeStreamed, nil)
 	return true
--- a/relay/event.go
+++ b/relay/event.go
@@ -21,20 +21,14 @@
 	g.broadcast(16, func(msg *wire.Gossip) { msg.Doubts = append(msg.Doubts, s) })
 }
 
-// BroadcastCrash announces a request that was running when an upstream crashed.
-func (g *Gossiper) BroadcastCrash(m *wire.CrashRecord) {
-	g.broadcast(40, func(msg *wire.Gossip) { msg.Marks = append(msg.Marks, m) })
+// BroadcastCrash announces that an upstream crashed while it ran a request.
+func (g *Gossiper) BroadcastCrash(c *wire.Crash) {
+	g.broadcast(16+len(c.GetSubject())+len(c.GetUpstream()), func(msg *wire.Gossip) { msg.Crashes = append(msg.Crashes, c) })
 }
 
-// BroadcastPartCrash announces a request that had not begun when an upstream crashed, by a
-// part of its prompt.
-func (g *Gossiper) BroadcastPartCrash(c *wire.PartCrash) {
-	g.broadcast(16+len(c.GetPart())+len(c.GetCrash()), func(msg *wire.Gossip) { msg.Parts = append(msg.Parts, c) })
-}
-
-// BroadcastPartSuccess announces a whole response by a part of its prompt.
-func (g *Gossiper) BroadcastPartSuccess(s *wire.PartSuccess) {
-	g.broadcast(16+len(s.GetPart()), func(msg *wire.Gossip) { msg.Sound = append(msg.Sound, s) })
+// BroadcastSuccess announces a whole response.
+func (g *Gossiper) BroadcastSuccess(s *wire.Success) {
+	g.broadcast(16+len(s.GetSubject()), func(msg *wire.Gossip) { msg.Sound = append(msg.Sound, s) })
 }
 
 // BroadcastLeaving announces that a process of an upstream is leaving.
--- a/relay/gossip.go
+++ b/relay/gossip.go
@@ -225,16 +225,16 @@
 	defer g.mu.Unlock()
 	g.sequence++
 	msg := &wire.Gossip{
-		Process: g.process, Sequence: g.sequence, Sent: g.pending.Sent, Ended: g.pending.Ended, Doubts: g.pending.Doubts, Marks: g.pending.Marks,
-		Outcomes: g.pending.Outcomes, Parts: g.pending.Parts, Sound: g.pending.Sound, Leaving: g.pending.Leaving,
+		Process: g.process, Sequence: g.sequence, Sent: g.pending.Sent, Ended: g.pending.Ended, Doubts: g.pending.Doubts,
+		Outcomes: g.pending.Outcomes, Crashes: g.pending.Crashes, Sound: g.pending.Sound, Leaving: g.pending.Leaving,
 	}
 	g.pending, g.pendingBytes = wire.Gossip{}, 0
 	return msg
 }
 
 func hasEvents(msg *wire.Gossip) bool {
-	return len(msg.GetSent())+len(msg.GetEnded())+len(msg.GetDoubts())+len(msg.GetMarks())+
-		len(msg.GetOutcomes())+len(msg.GetParts())+len(msg.GetSound())+len(msg.GetLeaving()) > 0
+	return len(msg.GetSent())+len(msg.GetEnded())+len(msg.GetDoubts())+
+		len(msg.GetOutcomes())+len(msg.GetCrashes())+len(msg.GetSound())+len(msg.GetLeaving()) > 0
 }
 
 // fillFull adds the entry's own state and records of members to a message.
--- a/retry/abort.go
+++ b/retry/abort.go
@@ -11,25 +11,24 @@
 	crashWindow = time.Second
 	// maxAborts bounds the aborted exchanges stored for one upstream.
 	maxAborts = 256
-	// repeatWindow is how long after an aborted exchange another one of the same
-	// request counts as repeated.
-	repeatWindow = 30 * time.Second
+	// abortsInterval is the time between two passes that remove old aborted exchanges.
+	abortsInterval = 30 * time.Second
 )
 
 // AbortTracker records the requests whose exchange with an upstream ended before
-// the response was complete. A single aborted exchange does not indicate a crash:
+// the response was complete. An aborted exchange alone does not indicate a crash:
 // upstreams lose responses and reset connections as well.
 type AbortTracker struct {
 	mu         sync.Mutex
 	byUpstream map[string][]Abort
-	// lastAbort is when the exchange of a request was last aborted, at any upstream.
-	lastAbort map[uint64]time.Time
-	prunedAt  time.Time
+	prunedAt   time.Time
 }
 
 // Abort is an exchange that ended before the response was complete.
 type Abort struct {
-	At          time.Time
+	At time.Time
+	// StartedAt is the start of the upstream's process, Unix milliseconds.
+	StartedAt   int64
 	Fingerprint uint64
 	// Parts are the shared parts of the prompt, if the response had not begun.
 	Parts []string
@@ -37,36 +36,27 @@
 
 // NewAbortTracker returns an empty tracker.
 func NewAbortTracker() *AbortTracker {
-	return &AbortTracker{byUpstream: map[string][]Abort{}, lastAbort: map[uint64]time.Time{}}
+	return &AbortTracker{byUpstream: map[string][]Abort{}}
 }
 
-// Record stores an aborted exchange of a request with an upstream. It
-// reports whether an exchange of the same request was aborted within the last
-// repeatWindow; the caller then checks whether the upstream crashed.
-func (t *AbortTracker) Record(now time.Time, upstream string, fingerprint uint64, parts []string) bool {
+// Record stores an aborted exchange with an upstream, which ended now.
+func (t *AbortTracker) Record(now time.Time, upstream string, x Abort) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if now.Sub(t.prunedAt) > repeatWindow {
+	if now.Sub(t.prunedAt) > abortsInterval {
 		t.prunedAt = now
-		for p, at := range t.lastAbort {
-			if now.Sub(at) > repeatWindow {
-				delete(t.lastAbort, p)
-			}
-		}
 		for u, list := range t.byUpstream {
-			if now.Sub(list[len(list)-1].At) > repeatWindow {
+			if now.Sub(list[len(list)-1].At) > crashWindow {
 				delete(t.byUpstream, u)
 			}
 		}
 	}
-	at, ok := t.lastAbort[fingerprint]
-	t.lastAbort[fingerprint] = now
 	list := t.byUpstream[upstream]
 	for len(list) > 0 && (now.Sub(list[0].At) > crashWindow || len(list) >= maxAborts) {
 		list = list[1:]
 	}
-	t.byUpstream[upstream] = append(list, Abort{At: now, Fingerprint: fingerprint, Parts: parts})
-	return ok && now.Sub(at) <= repeatWindow
+	x.At = now
+	t.byUpstream[upstream] = append(list, x)
 }
 
 // TakeAborted removes the aborted exchanges of an upstream that refuses
--- /dev/null
+++ b/retry/evidence.go
@@ -0,0 +1,282 @@
+package retry
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// evidenceThreshold is the number of crashes at which requests with a subject are
+	// refused.
+	evidenceThreshold = 3
+	// crashSpacing is the shortest time between two crashes that count as two for a prompt
+	// part: upstreams that fail together say little about the requests that ran there.
+	crashSpacing = 250 * time.Millisecond
+	// successWindow is how long before a crash a complete response shows that the subject
+	// did not cause the crash.
+	successWindow = 5 * time.Second
+	// partQuarantine is how long after the last crash requests with a part are refused.
+	// Then they are tried again, and one more crash suffices.
+	partQuarantine = 2 * time.Minute
+	// maxCrashes bounds the crashes that are stored, maxSuccesses the subjects whose last
+	// success is.
+	maxCrashes   = 1024
+	maxSuccesses = 8192
+)
+
+// Crash states that an upstream crashed while it ran a request, or for a prompt part,
+// before the response had begun.
+type Crash struct {
+	// Subject is the request's fingerprint or the part.
+	Subject string
+	// Upstream identifies the process that crashed: the upstream and its start.
+	Upstream string
+	At       time.Time
+}
+
+// Success states that a request with the subject got its whole response.
+type Success struct {
+	Subject string
+	At      time.Time
+}
+
+// Evidence finds what crashes upstreams: whole requests, or parts of prompts whatever else
+// the request holds. Each process of an upstream counts once. A whole response refutes the
+// crashes before it and those shortly after it. The evidence of several processes merges in
+// any order and any number of times. It is safe for concurrent use.
+type Evidence struct {
+	// spacing is the shortest time between two crashes that count as two, quarantine how
+	// long after the last crash requests are refused.
+	spacing    time.Duration
+	quarantine time.Duration
+
+	mu sync.Mutex
+	// crashes holds the time of each crash by subject and process, quarantined the subjects
+	// whose requests are refused.
+	crashes     map[string]map[string]time.Time
+	quarantined map[string]bool
+	successes   map[string]time.Time
+	count       int
+}
+
+// NewPartEvidence returns an empty set about parts of prompts.
+func NewPartEvidence() *Evidence { return newEvidence(crashSpacing, partQuarantine) }
+
+// NewRequestEvidence returns an empty set about whole requests. The retries of an attempt
+// crash upstreams within milliseconds, so that each crash counts.
+func NewRequestEvidence() *Evidence { return newEvidence(0, crashRecordTTL) }
+
+func newEvidence(spacing, quarantine time.Duration) *Evidence {
+	return &Evidence{
+		spacing: spacing, quarantine: quarantine,
+		crashes: map[string]map[string]time.Time{}, quarantined: map[string]bool{}, successes: map[string]time.Time{},
+	}
+}
+
+// AddCrashes adds crashes and returns those that were new, most crashes of one subject
+// first, and the successes that refute others. Both are for the peers.
+func (p *Evidence) AddCrashes(now time.Time, list []Crash) (added []Crash, refuting []Success) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range list {
+		if now.Sub(c.At) >= crashRecordTTL {
+			continue
+		}
+		if at, ok := p.successes[c.Subject]; ok && c.At.Sub(at) < successWindow {
+			refuting = append(refuting, Success{Subject: c.Subject, At: at})
+			continue
+		}
+		if p.crashes[c.Subject] == nil {
+			p.crashes[c.Subject] = map[string]time.Time{}
+		}
+		if _, ok := p.crashes[c.Subject][c.Upstream]; ok {
+			continue
+		}
+		p.crashes[c.Subject][c.Upstream] = c.At
+		p.count++
+		added = append(added, c)
+	}
+	slices.SortStableFunc(added, func(a, b Crash) int { return cmp.Compare(len(p.crashes[b.Subject]), len(p.crashes[a.Subject])) })
+	p.trim(now)
+	p.evaluate()
+	return added, refuting
+}
+
+// Count returns the number of crashes of a subject.
+func (p *Evidence) Count(subject string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.crashes[subject])
+}
+
+// AddSuccess records that a request with the subjects got its whole response, and returns
+// the successes of those that were suspected until now. They are for the peers.
+func (p *Evidence) AddSuccess(now time.Time, subjects []string) []Success {
+	list := make([]Success, 0, len(subjects))
+	for _, subject := range subjects {
+		list = append(list, Success{Subject: subject, At: now})
+	}
+	return p.AddSuccesses(now, list)
+}
+
+// AddSuccesses merges successes and returns those of subjects that were suspected until now.
+func (p *Evidence) AddSuccesses(now time.Time, list []Success) []Success {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var clearing []Success
+	for _, s := range list {
+		if s.At.After(p.successes[s.Subject]) {
+			p.successes[s.Subject] = s.At
+		}
+		removed := 0
+		for upstream, at := range p.crashes[s.Subject] {
+			if at.Sub(s.At) < successWindow {
+				delete(p.crashes[s.Subject], upstream)
+				removed++
+			}
+		}
+		if removed > 0 {
+			p.count -= removed
+			clearing = append(clearing, s)
+		}
+	}
+	if len(clearing) > 0 {
+		p.evaluate()
+	}
+	p.trimSuccesses(now)
+	return clearing
+}
+
+// FindQuarantined returns the first of the subjects whose requests are refused.
+func (p *Evidence) FindQuarantined(now time.Time, subjects ...string) (string, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, subject := range subjects {
+		if p.quarantined[subject] && now.Sub(p.lastCrash(subject)) < p.quarantine {
+			return subject, true
+		}
+	}
+	return "", false
+}
+
+// Crashes returns all crashes, for a peer that has just started.
+func (p *Evidence) Crashes(now time.Time) []Crash {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.trim(now)
+	var list []Crash
+	for subject, crashes := range p.crashes {
+		for upstream, at := range crashes {
+			list = append(list, Crash{Subject: subject, Upstream: upstream, At: at})
+		}
+	}
+	return list
+}
+
+func (p *Evidence) lastCrash(subject string) time.Time {
+	var last time.Time
+	for _, at := range p.crashes[subject] {
+		if at.After(last) {
+			last = at
+		}
+	}
+	return last
+}
+
+// evaluate decides anew which subjects are quarantined. The one with the most crashes comes
+// first; a crash that it explains does not count for the others that were there by chance.
+func (p *Evidence) evaluate() {
+	clear(p.quarantined)
+	explained := map[string]bool{}
+	for {
+		best := 0
+		var worst []string
+		for subject, crashes := range p.crashes {
+			if p.quarantined[subject] {
+				continue
+			}
+			n := p.countCrashes(crashes, explained)
+			if n >= evidenceThreshold && n >= best {
+				if n > best {
+					worst = worst[:0]
+				}
+				best = n
+				worst = append(worst, subject)
+			}
+		}
+		if len(worst) == 0 {
+			return
+		}
+		for _, subject := range worst {
+			p.quarantined[subject] = true
+			for upstream := range p.crashes[subject] {
+				explained[upstream] = true
+			}
+		}
+	}
+}
+
+// countCrashes counts the crashes that are not explained and at least the spacing apart.
+func (p *Evidence) countCrashes(crashes map[string]time.Time, explained map[string]bool) int {
+	var times []time.Time
+	for upstream, at := range crashes {
+		if !explained[upstream] {
+			times = append(times, at)
+		}
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	n := 0
+	var last time.Time
+	for _, at := range times {
+		if n == 0 || at.Sub(last) >= p.spacing {
+			n++
+			last = at
+		}
+	}
+	return n
+}
+
+// trim removes the crashes that are too old, and subjects above the bound: those with the
+// fewest crashes first, the oldest of them before the others.
+func (p *Evidence) trim(now time.Time) {
+	p.count = 0
+	for subject, crashes := range p.crashes {
+		maps.DeleteFunc(crashes, func(_ string, at time.Time) bool { return now.Sub(at) >= crashRecordTTL })
+		if len(crashes) == 0 {
+			delete(p.crashes, subject)
+		}
+		p.count += len(crashes)
+	}
+	for p.count > maxCrashes {
+		subject := p.leastSuspect()
+		p.count -= len(p.crashes[subject])
+		delete(p.crashes, subject)
+		delete(p.quarantined, subject)
+	}
+}
+
+func (p *Evidence) trimSuccesses(now time.Time) {
+	if len(p.successes) > maxSuccesses {
+		maps.DeleteFunc(p.successes, func(_ string, at time.Time) bool { return now.Sub(at) >= successWindow })
+	}
+	if len(p.successes) > maxSuccesses {
+		clear(p.successes) // They come again within successWindow if they matter.
+	}
+}
+
+// leastSuspect returns the subject with the fewest crashes, and of these the one whose last
+// crash is the longest ago.
+func (p *Evidence) leastSuspect() string {
+	least, fewest := "", 0
+	var oldest time.Time
+	for subject, crashes := range p.crashes {
+		at := p.lastCrash(subject)
+		if least == "" || cmp.Or(cmp.Compare(len(crashes), fewest), at.Compare(oldest)) < 0 {
+			least, fewest, oldest = subject, len(crashes), at
+		}
+	}
+	return least
+}
