direct: a planned stop divides its grace and answers what it took (LOST)

Cause: the entry took requests for 2.5 s whatever the grace is, up to the moment at which it cut what was left, and cut it without an answer.

Change: stopPlan. Requests are taken for 2.5 s if they have room before the end, by their limit or by 1.5 times their forecast, else refused with 503; an eighth of the grace, at most 0.4 s, before the kill those in progress are answered 502. Less than 1 s for a stop is refused at start.

Tests: TestPlannedStop failed before in seven of eight cases (6 to 12 requests without an answer); TestStopTimeout.

--- a/direct/entry.go
+++ b/direct/entry.go
@@ -33,14 +33,6 @@
 	headReadTimeout = time.Minute
 	// maxHeadBytes bounds a request's head, also while no configuration is in force.
 	maxHeadBytes = 64 << 10
-	// unreadyPeriod is how long a stopping entry still serves new requests, so that
-	// the load balancer, which probes each second and removes an entry after two
-	// failures, stops sending to it.
-	unreadyPeriod = 2500 * time.Millisecond
-	// drainPollInterval is the time between two checks for requests in progress.
-	drainPollInterval = 20 * time.Millisecond
-	// stopMargin is the time left between the end of a planned stop and the kill.
-	stopMargin = 400 * time.Millisecond
 	// memoryLimitFraction is the fraction of the memory that is set as the garbage
 	// collector's soft limit.
 	memoryLimitFraction = 0.6
@@ -95,6 +87,11 @@
 	stopping atomic.Bool
 	// refusing is set while new requests are answered with 503.
 	refusing atomic.Bool
+	// stopPlan is set while the entry stops; endRequests ends the context ending, with
+	// which the requests in progress end.
+	stopPlan    atomic.Pointer[stopPlan]
+	ending      context.Context
+	endRequests context.CancelFunc
 	// active counts the requests in progress.
 	active       atomic.Int64
 	callerServer *http.Server
@@ -131,6 +128,7 @@
 		duty:            newWatchDuty(s.ApplyTimeout),
 		createdAt:       time.Now(),
 	}
+	e.ending, e.endRequests = context.WithCancel(context.Background())
 	e.settings.Store(s)
 	for range codec.Prefixes {
 		e.itemCaches = append(e.itemCaches, newItemCache())
@@ -312,32 +310,9 @@
 	}
 }
 
-// Drain makes the readiness check fail, serves new requests until the load balancer
-// has noticed, then refuses them and waits for those in progress, all within
-// timeout. The listener stays open meanwhile: a caller moves to another entry sooner
-// after a refusal than after a refused connection.
-func (e *Entry) Drain(timeout time.Duration) {
-	now := time.Now()
-	deadline := now.Add(timeout - stopMargin)
-	e.stopping.Store(true)
-	e.callerConns.sweep(now, 0, 0)
-	time.Sleep(min(unreadyPeriod, time.Until(deadline)))
-	e.refusing.Store(true)
-	for e.active.Load() > 0 && time.Now().Before(deadline) {
-		time.Sleep(drainPollInterval)
-	}
-	if n := e.active.Load(); n > 0 {
-		e.log.With("requests", n).Warnf("drain timed out with requests in progress")
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), drainPollInterval)
-	defer cancel()
-	if err := e.callerServer.Shutdown(ctx); err != nil {
-		e.log.Infof("closing connections at the end of the drain: %v", err)
-	}
-}
-
 // Close stops the servers and loops and waits for them.
 func (e *Entry) Close() {
+	e.endRequests()
 	_ = e.callerServer.Close() // Closing twice is harmless.
 	_ = e.readyServer.Close()
 	if e.adminServer != nil {
--- a/direct/forward.go
+++ b/direct/forward.go
@@ -50,8 +50,7 @@
 
 // forward sends a request to an upstream and the response to the caller. It tries
 // further upstreams as far as the route and the retry budget allow.
-func (e *Entry) forward(w http.ResponseWriter, r *http.Request, q *request) {
-	ctx := r.Context()
+func (e *Entry) forward(ctx context.Context, w http.ResponseWriter, q *request) {
 	if q.service == nil {
 		e.respond(w, q, http.StatusServiceUnavailable, reasonNoUpstream, q.retryAfter(reasonNoUpstream))
 		return
@@ -65,7 +64,7 @@
 	for {
 		now := time.Now()
 		if ctx.Err() != nil {
-			e.logResult(q, 0, outcomeDisconnected, nil)
+			e.abandon(w, q, state)
 			return
 		}
 		if !now.Before(q.deadline) {
@@ -81,6 +80,10 @@
 			e.fail(w, q, state, http.StatusServiceUnavailable, reasonNoUpstream)
 			return
 		}
+		if q.sends == 0 && !e.stopPlan.Load().hasRoom(now, q, choice.Forecast) {
+			e.respond(w, q, http.StatusServiceUnavailable, reasonStopping, 0)
+			return
+		}
 		if f := choice.Forecast; q.sends == 0 && e.balancer.ShouldShed(now, q.service.Name, &q.placement, f) {
 			q.log.With("request", q.info.ID).With("first", f.TimeToFirst.Milliseconds()).With("backlog", f.Backlog.Milliseconds()).
 				With("limit", q.placement.Timeout.Milliseconds()).Infof("request shed; its first event is forecast too late")
@@ -264,9 +267,10 @@
 	if ctx.Err() != nil {
 		if f.sent {
 			q.sends++
+			state.executed++
 			e.recordUnresponsive(now, q, to, q.arrived)
 		}
-		e.logResult(q, 0, outcomeDisconnected, nil)
+		e.abandon(w, q, state)
 		return true
 	}
 	if f.withdrawn != fleet.WithdrawalNone {
--- a/direct/handle.go
+++ b/direct/handle.go
@@ -94,7 +94,9 @@
 		e.respond(w, q, http.StatusServiceUnavailable, reasonStopping, 0)
 		return
 	}
-	e.forward(w, r, q)
+	ctx, cancel := e.requestContext(r)
+	defer cancel()
+	e.forward(ctx, w, q)
 }
 
 func isChunked(r *http.Request) bool { return len(r.TransferEncoding) > 0 }
--- a/direct/response.go
+++ b/direct/response.go
@@ -259,14 +259,14 @@
 	now := time.Now()
 	logger := q.log.With("request", q.info.ID).With("upstream", x.to.ID).With("events", count).With("last", state.lastEventID).With("parts", q.info.Parts).With("error", err.Error())
 	if ctx.Err() != nil {
-		logger.Infof("caller disconnected during the stream")
+		logger.Infof("caller disconnected during the stream, or the entry stops")
 		since := q.lastEventTime
 		if since.IsZero() {
 			since = q.arrived
 		}
 		e.recordUnresponsive(now, q, x.to, since)
-		e.logResult(q, 0, outcomeDisconnected, nil)
-		panic(http.ErrAbortHandler)
+		e.abandon(w, q, state)
+		return true
 	}
 	if isTimeout(err) && !now.Before(q.deadline) {
 		logger.Infof("stream not finished before the deadline")
--- a/setup/direct.go
+++ b/setup/direct.go
@@ -43,6 +43,9 @@
 	RecomputeWindow time.Duration
 }
 
+// MinStopTimeout is the shortest time for a graceful shutdown.
+const MinStopTimeout = time.Second
+
 // Check returns all violations in the settings; none means they are valid.
 func (s *DirectSettings) Check() []config.Violation {
 	c := &checker{}
@@ -60,7 +63,9 @@
 	}
 	c.checkPositive("memory", s.MemoryBytes)
 	c.checkPositive("sockets", int64(s.MaxSockets))
-	c.checkPositive("stop", int64(s.StopTimeout))
+	if s.StopTimeout < MinStopTimeout {
+		c.add("stop", fmt.Sprintf("must be at least %v: a shorter stop leaves no time to answer the requests in progress", MinStopTimeout))
+	}
 	c.checkPositive("window", int64(s.RetryWindow))
 	c.checkNotNegative("ratio", s.RetryRatio)
 	c.checkNotNegative("slack", s.RetrySlack)
