--- a/direct/stop.go
+++ b/direct/stop.go
@@ -105,11 +105,13 @@
 }
 
 // abandon ends a request whose context has ended. One that the stop ended gets an answer,
-// unless part of the response was sent.
+// unless part of the response was sent. A caller that left gets none: without an answer the
+// HTTP server would send an empty success, and the caller may still read.
 func (e *Entry) abandon(w http.ResponseWriter, q *request, state *forwardState) {
 	if e.ending.Err() != nil {
 		e.fail(w, q, state, http.StatusServiceUnavailable, reasonStopping)
 		return
 	}
 	e.logResult(q, 0, outcomeDisconnected, nil)
+	panic(http.ErrAbortHandler)
 }
--- a/direct/stop_test.go
+++ b/direct/stop_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -95,3 +98,36 @@
 		})
 	}
 }
+
+// TestHalfClosedCaller guards against an empty success for a caller that closes its sending
+// side after a whole request: it gets its response, or the connection ends without one.
+func TestHalfClosedCaller(t *testing.T) {
+	s := newStack(t, 1)
+	for _, r := range s.replicas {
+		r.Latency = 100 * time.Millisecond
+	}
+	text := s.sendHalfClosed(s.entries[0], "POST /book/a HTTP/1.1\r\nHost: "+testHost+"\r\nAuthorization: Bearer "+testKey+
+		"\r\nCactustide-Request-Id: half\r\nCactustide-Deadline-Ms: 2000\r\nContent-Length: 1\r\n\r\nx")
+	if strings.HasPrefix(text, "HTTP/1.1 2") && !strings.Contains(text, "Cactustide-Response-Signature") {
+		t.Errorf("got %q, want the upstream's response or none", text)
+	}
+}
+
+// sendHalfClosed sends the text, closes the sending side and returns what comes back.
+func (s *testStack) sendHalfClosed(e *testEntry, text string) string {
+	s.t.Helper()
+	c, err := net.Dial("tcp", e.settings.Listen)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(3 * time.Second))
+	if _, err := io.WriteString(c, text); err != nil {
+		s.t.Fatal(err)
+	}
+	if err := c.(*net.TCPConn).CloseWrite(); err != nil {
+		s.t.Fatal(err)
+	}
+	got, _ := io.ReadAll(c) // A reset ends the response as well.
+	return string(got)
+}
