--- a/direct/forward.go
+++ b/direct/forward.go
@@ -125,7 +125,7 @@
 	q.log.With("request", q.info.ID).With("upstream", choice.Upstream.ID).With("version", q.version).
 		With("revision", choice.Upstream.Revision).With("lapsed", lapsed).With("candidates", len(candidates)).
 		With("first", f.TimeToFirst.Milliseconds()).With("cached", f.CachedTokens).With("backlog", f.Backlog.Milliseconds()).With("last", f.TimeToLast.Milliseconds()).
-		With("running", f.Running).With("tier", q.tier).With("cost", strconv.FormatFloat(f.Cost, 'f', 3, 64)).Infof("sending request")
+		With("running", f.Running).With("tier", q.tier).With("copy", e.copyAge(now).Milliseconds()).With("cost", strconv.FormatFloat(f.Cost, 'f', 3, 64)).Infof("sending request")
 	return choice, true
 }
 
--- a/direct/outage_test.go
+++ b/direct/outage_test.go
@@ -100,6 +100,35 @@
 	}
 }
 
+// TestRemovedAfterSilentStore guards against keeping an upstream whose registration is removed
+// once the entries are in touch again after a silent store: a call that the store took shortly
+// before its return and never answers must not count as an outage by then, in which the
+// registration would have lapsed.
+func TestRemovedAfterSilentStore(t *testing.T) {
+	for name, silence := range map[string]time.Duration{"a": 1800 * time.Millisecond, "b": 2100 * time.Millisecond, "c": 2400 * time.Millisecond, "d": 2700 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newStackOf(t, stackOptions{entries: 2, fullWait: true})
+			s.store.SetFaults(stand.StoreFaults{NoResponse: true})
+			time.Sleep(silence)
+			s.store.SetFaults(stand.StoreFaults{})
+			time.Sleep(contactTime + 100*time.Millisecond)
+			left := s.replicas[0]
+			s.store.Delete(left.StoreKey())
+			time.Sleep(drainTime)
+			before := len(left.ExecutedRequests())
+			for range 40 {
+				for _, e := range s.entries {
+					s.send(context.Background(), e, callerRequest{path: "/read/a", key: testKey})
+				}
+			}
+			if got := len(left.ExecutedRequests()) - before; got != 0 {
+				t.Errorf("got %d requests at the upstream later than %v after its removal, want none", got, drainTime)
+			}
+		})
+	}
+}
+
 // isStoreDown reports whether the entry has no answer from the store.
 func (s *testStack) isStoreDown(t *testing.T, e *testEntry) bool {
 	t.Helper()
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -54,6 +54,20 @@
 	return list
 }
 
+// copyAge returns the time since the store last had nothing newer than the oldest copy, as
+// it told this or another entry.
+func (e *Entry) copyAge(now time.Time) time.Duration {
+	var oldest time.Duration
+	for _, c := range e.itemCaches {
+		age, ok := c.confirmedAge(now)
+		if !ok {
+			age = now.Sub(e.createdAt)
+		}
+		oldest = max(oldest, age)
+	}
+	return oldest
+}
+
 // snapshot returns the cached items under a prefix, or just the changes after a revision if
 // they are known.
 func (e *Entry) snapshot(prefix int, after uint64) *wire.SnapshotReply {
