--- a/fleet/belief.go
+++ b/fleet/belief.go
@@ -21,6 +21,8 @@
 	leavingRetention = 10 * time.Minute
 	// maxLeaving bounds the processes that are remembered as leaving.
 	maxLeaving = 4096
+	// maxPauses bounds the pauses that are remembered.
+	maxPauses = 4096
 	// MaxPause bounds the time that an upstream may ask for without requests.
 	MaxPause = 5 * time.Minute
 )
@@ -107,19 +109,44 @@
 		return time.Time{}
 	}
 	until := now.Add(min(length, MaxPause))
-	if m.paused.startedAt == startedAt && m.paused.until.After(until) {
-		return m.paused.until
+	old, ok := r.pauses[id]
+	if ok && old.startedAt == startedAt && old.until.After(until) {
+		return old.until
 	}
-	m.paused = pause{startedAt: startedAt, until: until}
+	if !ok && len(r.pauses) >= maxPauses {
+		r.dropFirstPause()
+	}
+	r.pauses[id] = pause{startedAt: startedAt, until: until}
 	return until
 }
 
-// pausedUntil returns the end of the pause of a member; zero without one.
-func (m *member) pausedUntil(now time.Time) time.Time {
-	if m.paused.startedAt != m.StartedAt || !now.Before(m.paused.until) {
+// dropFirstPause forgets the pause that ends first.
+func (r *Registry) dropFirstPause() {
+	var first string
+	for id, p := range r.pauses {
+		if first == "" || p.until.Before(r.pauses[first].until) {
+			first = id
+		}
+	}
+	delete(r.pauses, first)
+}
+
+// expirePauses forgets the pauses that have ended.
+func (r *Registry) expirePauses(now time.Time) {
+	for id, p := range r.pauses {
+		if !now.Before(p.until) {
+			delete(r.pauses, id)
+		}
+	}
+}
+
+// pausedUntil returns the end of the pause of an upstream's process; zero without one.
+func (r *Registry) pausedUntil(now time.Time, u Upstream) time.Time {
+	p, ok := r.pauses[u.ID]
+	if !ok || p.startedAt != u.StartedAt || !now.Before(p.until) {
 		return time.Time{}
 	}
-	return m.paused.until
+	return p.until
 }
 
 // Withdrawal is the reason why an upstream that was chosen gets no request after all.
@@ -143,10 +170,10 @@
 	}
 	m, ok := r.members[u.ID]
 	switch {
+	case !r.pausedUntil(now, u).IsZero():
+		return WithdrawalPaused
 	case !ok || m.StartedAt != u.StartedAt:
 		return WithdrawalNone
-	case !m.pausedUntil(now).IsZero():
-		return WithdrawalPaused
 	case m.Draining:
 		return WithdrawalDraining
 	}
@@ -163,7 +190,7 @@
 		if m.Service != service || m.Draining || r.isLeaving(m) {
 			continue
 		}
-		if until := m.pausedUntil(now); !until.IsZero() && (first.IsZero() || until.Before(first)) {
+		if until := r.pausedUntil(now, m.Upstream); !until.IsZero() && (first.IsZero() || until.Before(first)) {
 			first = until
 		}
 	}
@@ -191,7 +218,7 @@
 			c.Draining++
 		case r.isLeaving(m):
 			c.Leaving++
-		case !m.pausedUntil(now).IsZero():
+		case !r.pausedUntil(now, m.Upstream).IsZero():
 			c.Paused++
 		case now.Before(m.health.bannedUntil):
 			c.Banned++
--- a/fleet/belief_test.go
+++ b/fleet/belief_test.go
@@ -132,3 +132,62 @@
 		t.Error("got an outage of this entry, want none: only a peer had one")
 	}
 }
+
+// TestPauseOutlastsRegistration guards the time that an upstream asks for without requests
+// while its registration lapses and returns: it belongs to the process, not to the entry in
+// the store.
+func TestPauseOutlastsRegistration(t *testing.T) {
+	now := time.Unix(1000, 0)
+	u := Upstream{ID: "u", Service: "s", Address: "10.0.0.1:80", Slots: 1, Sequence: 3, StartedAt: 7, Revision: 10}
+	again, next := u, u
+	again.Sequence, again.Revision = 4, 12
+	next.StartedAt, next.Revision = 8, 12
+	tests := map[string]struct {
+		back  Upstream
+		after time.Duration
+		want  bool
+	}{
+		"the same process":            {again, time.Second, false},
+		"the same process, after it":  {again, 5 * time.Second, true},
+		"the next process":            {next, time.Second, true},
+		"the same process, unchanged": {u, time.Second, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := NewRegistry()
+			r.Put(u)
+			r.Pause(now, "u", 7, 4*time.Second)
+			if got := r.Remove(now, "u"); got != ChangeRemoved {
+				t.Fatalf("got %q, want the registration removed", got)
+			}
+			if got := r.Withdrawn(now, u); got != WithdrawalPaused {
+				t.Errorf("got %q for a connection that opened meanwhile, want %q", got, WithdrawalPaused)
+			}
+			at := now.Add(test.after)
+			r.Expire(at)
+			r.Put(test.back)
+			if got := len(r.Candidates(at, "s")) == 1; got != test.want {
+				t.Errorf("got candidate %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+// TestPausesBounded: the memory for pauses is bounded and ends with them.
+func TestPausesBounded(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := NewRegistry()
+	for i := range 2 * maxPauses {
+		u := Upstream{ID: fmt.Sprint(i), Service: "s", StartedAt: 1}
+		r.Put(u)
+		r.Pause(now, u.ID, 1, time.Second)
+		r.Remove(now, u.ID)
+	}
+	if got := len(r.pauses); got > maxPauses {
+		t.Errorf("got %d pauses stored, want at most %d", got, maxPauses)
+	}
+	r.Expire(now.Add(time.Second))
+	if got := len(r.pauses); got != 0 {
+		t.Errorf("got %d pauses stored after their end, want none", got)
+	}
+}
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -26,7 +26,6 @@
 	// own, which may go on.
 	lapsed      bool
 	lapsedUntil time.Time
-	paused      pause
 }
 
 // Registry holds the upstreams by id.
@@ -40,6 +39,9 @@
 	// leaving holds the processes that said that they are leaving, by the id of the
 	// upstream. They outlast the registration, which an outage may remove and bring back.
 	leaving map[string]Departure
+	// pauses holds the time that processes asked for without requests, by the id of the
+	// upstream. They outlast the registration as well.
+	pauses map[string]pause
 	// lastOutage is when the store last failed to respond, or when it recovered.
 	lastOutage time.Time
 	// peerOutage is when it last did so for another entry that told of it.
@@ -48,7 +50,7 @@
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
-	return &Registry{members: map[string]*member{}, byHash: map[uint64]string{}, rings: map[string][]Node{}, leaving: map[string]Departure{}}
+	return &Registry{members: map[string]*member{}, byHash: map[uint64]string{}, rings: map[string][]Node{}, leaving: map[string]Departure{}, pauses: map[string]pause{}}
 }
 
 // Change is the effect of a registration or of its removal.
@@ -215,6 +217,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.expireDepartures(now)
+	r.expirePauses(now)
 	var removed []string
 	for id, m := range r.members {
 		if m.lapsed && r.lapseEnded(now, m) {
@@ -304,7 +307,7 @@
 func (r *Registry) candidate(now time.Time, m *member) Candidate {
 	c := Candidate{
 		Upstream: m.Upstream, FailureRate: m.health.failureRate(now), Banned: now.Before(m.health.bannedUntil), Lapsed: m.lapsed,
-		PausedUntil: m.pausedUntil(now),
+		PausedUntil: r.pausedUntil(now, m.Upstream),
 	}
 	if r.isLeaving(m) {
 		c.Leaving, c.LeavingSince = r.leaving[m.ID].Source, r.leaving[m.ID].At
--- a/fleet/ring.go
+++ b/fleet/ring.go
@@ -74,5 +74,5 @@
 
 // accepts reports whether an upstream accepts new requests as far as is known.
 func (r *Registry) accepts(now time.Time, m *member) bool {
-	return !m.Draining && (!m.lapsed || !r.lapseEnded(now, m)) && !r.isLeaving(m) && m.pausedUntil(now).IsZero()
+	return !m.Draining && (!m.lapsed || !r.lapseEnded(now, m)) && !r.isLeaving(m) && r.pausedUntil(now, m.Upstream).IsZero()
 }
