--- a/direct/admin.go
+++ b/direct/admin.go
@@ -57,6 +57,9 @@
 		Dropped: e.droppedLines(), Connections: e.pool.Opened(), Requests: e.active.Load(),
 	}
 	s.Watcher, _ = e.watchRole(now)
+	for _, m := range e.memoryUses() {
+		s.Memory = append(s.Memory, &wire.MemoryStatus{Owner: m.owner, Used: m.used, Bound: m.bound})
+	}
 	alive := e.gossiper.Members().Alive(now)
 	watchers := chooseWatchers(alive)
 	for _, m := range alive {
--- a/direct/crash.go
+++ b/direct/crash.go
@@ -24,7 +24,9 @@
 		var d xxhash.Digest
 		d.Reset()
 		_, _ = d.WriteString(q.method + " " + q.target + "\n" + q.owner.Team + "\n") // xxhash never returns an error.
-		_, _ = d.Write(q.body)
+		for _, segment := range q.body.segments {
+			_, _ = d.Write(segment)
+		}
 		q.fingerprint = d.Sum64()
 	}
 	return q.fingerprint
--- a/direct/entry.go
+++ b/direct/entry.go
@@ -273,6 +273,7 @@
 			}
 			e.pool.Sweep(now)
 			e.updateStoreAge(now)
+			e.updateMemoryUses()
 			for _, id := range e.fleet.Expire(now) {
 				e.balancer.Forget(id)
 				e.log.With("upstream", id).Infof("removed an upstream that did not register again after the store outage")
--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -144,7 +144,7 @@
 		LastEventID: lastEventID,
 	})
 	if q.hasBody {
-		h.Set("Content-Length", strconv.Itoa(len(q.body)))
+		h.Set("Content-Length", strconv.FormatInt(q.body.size, 10))
 	}
 	var b bytes.Buffer
 	b.Grow(1024)
@@ -160,16 +160,22 @@
 
 // write sends the request. A large one is written in a goroutine while the response
 // is read, as an upstream may respond before it has read the whole request.
-func (x *exchange) write(head, body []byte) {
-	if len(head)+len(body) <= inlineWriteBytes {
-		_, err := x.conn.Write(append(head, body...))
+func (x *exchange) write(head []byte, body requestBody) {
+	if int64(len(head))+body.size <= inlineWriteBytes {
+		for _, segment := range body.segments {
+			head = append(head, segment...)
+		}
+		_, err := x.conn.Write(head)
 		x.writeResult <- err
 		return
 	}
 	go func() {
 		_, err := x.conn.Write(head)
-		if err == nil {
-			_, err = x.conn.Write(body)
+		for _, segment := range body.segments {
+			if err != nil {
+				break
+			}
+			_, err = x.conn.Write(segment)
 		}
 		x.writeResult <- err
 	}()
--- a/direct/handle.go
+++ b/direct/handle.go
@@ -1,7 +1,6 @@
 package direct
 
 import (
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -27,7 +26,7 @@
 	target string
 	host   string
 	header http.Header
-	body   []byte
+	body   requestBody
 	// hasBody is set for an empty body too, but not for a request without one.
 	hasBody     bool
 	arrived     time.Time
@@ -58,6 +57,7 @@
 	reasonBodyTooLarge   = "body too large"
 	reasonInvalid        = "unreadable request"
 	reasonBodyMemory     = "too many bodies in progress"
+	reasonBodySlow       = "the body did not arrive in time"
 	reasonNoUpstream     = "no upstream"
 	reasonUpstreamsFull  = "upstreams are full"
 	reasonPaused         = "upstreams want no requests now"
@@ -87,7 +87,7 @@
 		e.respond(w, q, status, reason, q.retryAfter(reason))
 		return
 	}
-	defer e.bodyMemory.release(int64(len(q.body)))
+	defer e.bodyMemory.release(q.body.reserved)
 	e.active.Add(1)
 	defer e.active.Add(-1)
 	if e.refusing.Load() {
@@ -140,14 +140,19 @@
 	return q, 0, ""
 }
 
+// timeLimit returns how long the caller waits, at most the route's timeout.
+func (q *request) timeLimit() time.Duration {
+	if q.info.HasTimeout {
+		return min(q.route.Timeout, q.info.Timeout)
+	}
+	return q.route.Timeout
+}
+
 // prepare sets the fields on which the choice of an upstream depends.
 func (e *Entry) prepare(q *request, table *rules.Table) {
 	q.tier = q.owner.Priority(q.route)
 	q.service = table.FindService(q.route.PickService(q.info.ID))
-	wait := q.route.Timeout
-	if q.info.HasTimeout {
-		wait = min(wait, q.info.Timeout)
-	}
+	wait := q.timeLimit()
 	q.deadline = q.arrived.Add(wait)
 	q.placement = place.Request{
 		Segments:       q.info.Segments,
@@ -159,7 +164,7 @@
 		Tier:           q.tier,
 		RouteTier:      q.route.Tier,
 		Centre:         e.settings.Load().Centre,
-		Bytes:          len(q.body) + assumedResponseBytes,
+		Bytes:          int(q.body.size) + assumedResponseBytes,
 		ArrivedAt:      q.arrived,
 	}
 	if q.info.OutputHint > 0 {
@@ -186,50 +191,6 @@
 	return int64(n)
 }
 
-// readBody reads the whole body, so that the request can be retried and an early
-// response never leaves it half sent. A status other than 0 is to be returned to
-// the caller, with the reason.
-func (e *Entry) readBody(w http.ResponseWriter, r *http.Request, q *request, limit int64) (int, string) {
-	if r.ContentLength == 0 {
-		q.hasBody = r.Header.Get("Content-Length") != ""
-		return 0, ""
-	}
-	q.hasBody = true
-	if limit > 0 {
-		if r.ContentLength > limit {
-			return http.StatusRequestEntityTooLarge, reasonBodyTooLarge
-		}
-		r.Body = http.MaxBytesReader(w, r.Body, limit)
-	}
-	var data []byte
-	var err error
-	if r.ContentLength > 0 {
-		if !e.bodyMemory.reserve(r.ContentLength) {
-			return http.StatusServiceUnavailable, reasonBodyMemory
-		}
-		data = make([]byte, r.ContentLength)
-		if _, err = io.ReadFull(r.Body, data); err != nil {
-			e.bodyMemory.release(r.ContentLength)
-		} else if _, err = r.Body.Read(make([]byte, 1)); err == io.EOF {
-			err = nil // Reading to the end lets the server detect that the caller disconnects.
-		}
-	} else {
-		data, err = io.ReadAll(r.Body)
-		if err == nil && !e.bodyMemory.reserve(int64(len(data))) {
-			return http.StatusServiceUnavailable, reasonBodyMemory
-		}
-	}
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		return http.StatusRequestEntityTooLarge, reasonBodyTooLarge
-	}
-	if err != nil {
-		return http.StatusBadRequest, reasonInvalid
-	}
-	q.body = data
-	return 0, ""
-}
-
 // respond sends a response that the entry itself makes and logs it. A 503 gets a
 // Retry-After of at least minRetryAfter.
 func (e *Entry) respond(w http.ResponseWriter, q *request, status int, reason string, after time.Duration) {
--- a/direct/limits.go
+++ b/direct/limits.go
@@ -4,7 +4,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -80,20 +79,3 @@
 		}
 	}
 }
-
-// memoryLimiter bounds the memory of request bodies in progress, bytes.
-type memoryLimiter struct {
-	limit int64
-	used  atomic.Int64
-}
-
-// reserve reserves n bytes and reports whether they were available.
-func (l *memoryLimiter) reserve(n int64) bool {
-	if l.used.Add(n) <= l.limit {
-		return true
-	}
-	l.used.Add(-n)
-	return false
-}
-
-func (l *memoryLimiter) release(n int64) { l.used.Add(-n) }
--- a/direct/stack_test.go
+++ b/direct/stack_test.go
@@ -46,6 +46,8 @@
 	// fullWait leaves the wait of watches as the entry sets it; else it is cut to
 	// 100 ms, so that a cut store is noticed soon.
 	fullWait bool
+	// memoryBytes is the memory of an entry; 0 means 256 MB.
+	memoryBytes int64
 }
 
 // testEntry is an entry whose calls to the store can be made to fail.
@@ -110,6 +112,9 @@
 		Store: s.store.Address, MemoryBytes: 256 << 20, MaxSockets: 1000, StopTimeout: 5 * time.Second,
 		RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50, RecomputeWindow: 10 * time.Second,
 	}
+	if s.options.memoryBytes > 0 {
+		settings.MemoryBytes = s.options.memoryBytes
+	}
 	for _, other := range s.entries {
 		settings.Seeds = append(settings.Seeds, other.settings.Peer)
 	}
