--- a/direct/cache.go
+++ b/direct/cache.go
@@ -19,13 +19,16 @@
 
 	mu    sync.Mutex
 	items map[string]store.Item
+	// size is the size of the items, bytes.
+	size int
 	// revision is the revision up to which the copy is complete.
 	revision uint64
 	// digest is a hash of the keys and revisions.
 	digest uint64
 	// log holds the last changes, complete after logFrom; 0 means that there are none.
-	log     []store.Item
-	logFrom uint64
+	log      []store.Item
+	logBytes int
+	logFrom  uint64
 	// confirmedAt is the latest time at which the store had nothing newer, as it told this
 	// or another entry.
 	confirmedAt time.Time
@@ -37,8 +40,12 @@
 	downSince    time.Time
 }
 
-// maxLog bounds the changes that are kept for entries that lag behind.
-const maxLog = 512
+// maxLog and maxLogBytes bound the changes that are kept for entries that lag behind; one
+// that has fallen further behind gets all items.
+const (
+	maxLog      = 512
+	maxLogBytes = 2 << 20
+)
 
 // emptyDigest is the digest of no items.
 const emptyDigest = 1
@@ -56,29 +63,48 @@
 }
 
 func (c *itemCache) put(item store.Item) {
-	if old, ok := c.items[item.Key]; ok {
-		c.digest -= digestOf(old)
-	}
+	c.remove(item.Key)
 	c.items[item.Key] = item
 	c.digest += digestOf(item)
+	c.size += sizeOf(item)
 }
 
 func (c *itemCache) remove(key string) {
 	if old, ok := c.items[key]; ok {
 		c.digest -= digestOf(old)
+		c.size -= sizeOf(old)
 		delete(c.items, key)
 	}
 }
 
-// appendLog adds a change to the log, and drops the older half if it is full.
+// appendLog adds a change to the log, and drops the oldest ones above its bounds.
 func (c *itemCache) appendLog(item store.Item) {
-	if len(c.log) >= maxLog {
-		for _, old := range c.log[:maxLog/2] {
-			c.logFrom = max(c.logFrom, old.Revision)
-		}
-		c.log = slices.Clone(c.log[maxLog/2:])
-	}
 	c.log = append(c.log, item)
+	c.logBytes += sizeOf(item)
+	dropped := 0
+	for ; len(c.log)-dropped > maxLog || c.logBytes > maxLogBytes; dropped++ {
+		c.logFrom = max(c.logFrom, c.log[dropped].Revision)
+		c.logBytes -= sizeOf(c.log[dropped])
+		c.log[dropped] = store.Item{} // The array may outlast it.
+	}
+	c.log = c.log[dropped:]
+}
+
+// sizeOf returns the bytes that an item keeps in memory.
+func sizeOf(item store.Item) int { return len(item.Key) + len(item.Value) }
+
+// historyBytes returns the size of the log.
+func (c *itemCache) historyBytes() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return int64(c.logBytes)
+}
+
+// itemBytes returns the size of the items.
+func (c *itemCache) itemBytes() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return int64(c.size)
 }
 
 // changesAfter returns the changes after a revision and the revision of the copy, or false
@@ -207,7 +233,7 @@
 	}
 	slices.Sort(removed)
 	c.revision = max(c.revision, revision)
-	c.log, c.logFrom = nil, c.revision
+	c.log, c.logBytes, c.logFrom = nil, 0, c.revision
 	return added, removed
 }
 
--- a/direct/cache_test.go
+++ b/direct/cache_test.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -121,3 +122,71 @@
 type discard struct{}
 
 func (discard) Write(p []byte) (int, error) { return len(p), nil }
+
+// TestHistoryBytes guards against a history of changes that fills the memory of an entry with
+// the values of a large configuration.
+func TestHistoryBytes(t *testing.T) {
+	const valueBytes = 980_000
+	c := newItemCache()
+	c.replace(nil, 10)
+	version := func(n uint64) store.Item {
+		return store.Item{Key: "op/config", Value: make([]byte, valueBytes), Revision: 10 + n}
+	}
+	for n := range uint64(300) {
+		c.apply([]store.Item{version(n + 1)}, 11+n)
+		if got := c.historyBytes(); got > maxLogBytes {
+			t.Fatalf("got %d bytes of history after %d versions, want at most %d", got, n+1, maxLogBytes)
+		}
+	}
+	kept := 0
+	for _, item := range c.log[:cap(c.log)] {
+		kept += len(item.Value)
+	}
+	if kept > maxLogBytes {
+		t.Errorf("got %d bytes in the array of the history, want at most %d", kept, maxLogBytes)
+	}
+	if items, revision, ok := c.changesAfter(309); !ok || revision != 310 || len(items) != 1 || items[0].Revision != 310 {
+		t.Errorf("got %d changes up to %d, %v, want the last one", len(items), revision, ok)
+	}
+	if _, _, ok := c.changesAfter(200); ok {
+		t.Error("got changes from before the history, want none, so that the peer gets all items")
+	}
+	c.apply([]store.Item{{Key: "op/config", Value: make([]byte, 2*maxLogBytes), Revision: 311}}, 311)
+	if got := c.historyBytes(); got != 0 {
+		t.Errorf("got %d bytes of history after a change above its bound, want none", got)
+	}
+	if _, _, ok := c.changesAfter(310); ok {
+		t.Error("got changes that the history has not kept, want none")
+	}
+}
+
+// TestReplacedItems guards the work for changes that a later one of the same answer has already
+// replaced: a large configuration is decoded once for each version that comes into force.
+func TestReplacedItems(t *testing.T) {
+	put := func(key string, revision uint64) store.Item { return itemAt(key, revision) }
+	tests := map[string]struct {
+		items []store.Item
+		want  []uint64
+	}{
+		"one":                         {[]store.Item{put("a", 1)}, []uint64{1}},
+		"three versions":              {[]store.Item{put("a", 1), put("a", 2), put("a", 3)}, []uint64{3}},
+		"of different keys":           {[]store.Item{put("a", 1), put("b", 2), put("a", 3)}, []uint64{2, 3}},
+		"removed at last":             {[]store.Item{put("a", 1), put("a", 2), deletedAt("a", 3)}, []uint64{2, 3}},
+		"removed and stored again":    {[]store.Item{put("a", 1), deletedAt("a", 2), put("a", 3)}, []uint64{1, 2, 3}},
+		"stored again and once more":  {[]store.Item{deletedAt("a", 1), put("a", 2), put("a", 3)}, []uint64{1, 3}},
+		"none, so nothing is decoded": {nil, nil},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var got []uint64
+			for i, item := range test.items {
+				if !isReplaced(item, test.items[i+1:]) {
+					got = append(got, item.Revision)
+				}
+			}
+			if !slices.Equal(got, test.want) {
+				t.Errorf("got revisions %v handled, want %v", got, test.want)
+			}
+		})
+	}
+}
--- a/direct/memory.go
+++ b/direct/memory.go
@@ -1,6 +1,7 @@
 package direct
 
-// memoryUse is the memory that something in an entry uses, and its bound, bytes.
+// memoryUse is the memory that something in an entry uses, and its bound, bytes; a bound of
+// 0 means that the platform's store bounds it.
 type memoryUse struct {
 	owner       string
 	used, bound int64
@@ -8,9 +9,14 @@
 
 // memoryUses returns what grows with requests and changes.
 func (e *Entry) memoryUses() []memoryUse {
-	return []memoryUse{
-		{owner: "bodies", used: e.bodyMemory.used.Load(), bound: e.bodyMemory.limit},
+	uses := []memoryUse{{owner: "bodies", used: e.bodyMemory.used.Load(), bound: e.bodyMemory.limit}}
+	history := memoryUse{owner: "history", bound: int64(len(e.itemCaches)) * maxLogBytes}
+	items := memoryUse{owner: "items"}
+	for _, c := range e.itemCaches {
+		history.used += c.historyBytes()
+		items.used += c.itemBytes()
 	}
+	return append(uses, history, items)
 }
 
 // updateMemoryUses updates the metrics of memory by owner.
--- a/direct/watch.go
+++ b/direct/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"cactustide/fleet"
@@ -219,14 +220,26 @@
 	defer c.applying.Unlock()
 	e.logKeyless(changes.Items)
 	applied := c.apply(changes.Items, changes.Revision)
-	for _, item := range applied {
-		e.handleItem(now, src, item)
+	for i, item := range applied {
+		if !isReplaced(item, applied[i+1:]) {
+			e.handleItem(now, src, item)
+		}
 	}
 	if len(applied) > 0 {
 		e.gossiper.Announce()
 	}
 }
 
+// isReplaced reports whether a later change of the same key makes an item needless. A removal
+// in between counts: what is stored after it is another thing of the same name.
+func isReplaced(item store.Item, later []store.Item) bool {
+	if item.Deleted {
+		return false
+	}
+	i := slices.IndexFunc(later, func(next store.Item) bool { return next.Key == item.Key })
+	return i >= 0 && !later[i].Deleted
+}
+
 // handleItem applies one item. One that cannot be decoded is ignored.
 func (e *Entry) handleItem(now time.Time, src source, item store.Item) {
 	c, err := e.codec.Decode(item)
