direct: responses that are buffered share a bound on memory

Cause and change: a fraction of the memory (0.15) is reserved by the length of a response, or 256 KB without one; where there is none left it is passed on as it arrives, which only gives up the retry of one that breaks off. TestResponseMemory: 30 responses of 200 KB at once in 1.2 MB, all whole, the bound kept, nothing held afterwards (new; the owner it reads did not exist before).

Ruled out: a refusal (the request has run).

--- a/direct/body.go
+++ b/direct/body.go
@@ -26,7 +26,7 @@
 	bodyProgressTimeout = 5 * time.Second
 )
 
-// memoryLimiter bounds the memory of request bodies in progress, bytes.
+// memoryLimiter bounds the memory of bodies in progress, bytes.
 type memoryLimiter struct {
 	limit int64
 	used  atomic.Int64
--- a/direct/body_test.go
+++ b/direct/body_test.go
@@ -15,14 +15,14 @@
 	"cactustide/platform/stand"
 )
 
-// bodyMemory returns the memory that the bodies of an entry use, and its bound, bytes.
-func (s *testStack) bodyMemory(e *testEntry) (used, bound int64) {
+// memory returns the memory that an owner in an entry uses, and its bound, bytes.
+func (s *testStack) memory(e *testEntry, owner string) (used, bound int64) {
 	for _, m := range s.status(e).GetMemory() {
-		if m.GetOwner() == "bodies" {
+		if m.GetOwner() == owner {
 			return m.GetUsed(), m.GetBound()
 		}
 	}
-	s.t.Fatal("got no memory of bodies in the status")
+	s.t.Errorf("got no memory of %s in the status", owner)
 	return 0, 0
 }
 
@@ -101,7 +101,7 @@
 			var most int64
 			small.Go(func() {
 				for !done.Load() {
-					used, bound := s.bodyMemory(e)
+					used, bound := s.memory(e, "bodies")
 					if most = max(most, used); used > bound {
 						t.Errorf("got %d bytes held, want at most %d", used, bound)
 					}
@@ -117,7 +117,7 @@
 			if most < 4<<20 {
 				t.Errorf("got at most %d bytes held, want the uploads to be counted as they arrive", most)
 			}
-			waitFor(t, "all memory released", func() bool { used, _ := s.bodyMemory(e); return used == 0 })
+			waitFor(t, "all memory released", func() bool { used, _ := s.memory(e, "bodies"); return used == 0 })
 		})
 	}
 }
@@ -136,7 +136,7 @@
 			if got != "HTTP/1.1 408" {
 				t.Errorf("got %q after %v, want 408", got, time.Since(begin))
 			}
-			if used, _ := s.bodyMemory(e); used != 0 {
+			if used, _ := s.memory(e, "bodies"); used != 0 {
 				t.Errorf("got %d bytes held after the refusal, want none", used)
 			}
 			if runs := s.runs("stalled"); runs != 0 {
@@ -146,6 +146,48 @@
 	}
 }
 
+// TestResponseMemory guards against responses that are read before they are passed on filling
+// the memory of an entry: above the bound they are passed on as they arrive, all of them whole.
+func TestResponseMemory(t *testing.T) {
+	const size = 200 << 10
+	s := newStackOf(t, stackOptions{entries: 1, memoryBytes: 8 << 20})
+	u := newScriptedUpstream(t, func(c net.Conn, q *http.Request) bool {
+		_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nCactustide-Request-Id: "+requestID(q)+"\r\nCactustide-Response-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for range 4 {
+			time.Sleep(50 * time.Millisecond)
+			if err == nil {
+				_, err = fmt.Fprintf(c, "%x\r\n%s\r\n", size/4, strings.Repeat("x", size/4))
+			}
+		}
+		if err == nil {
+			_, err = io.WriteString(c, "0\r\n\r\n")
+		}
+		return err == nil
+	})
+	s.replaceUpstreams("a-chunks", u.listener.Addr().String())
+	e := s.entries[0]
+	var sending sync.WaitGroup
+	for range 30 {
+		sending.Go(func() {
+			if got := s.send(context.Background(), e, callerRequest{path: "/book/a", key: testKey, body: "x"}); got.status != http.StatusOK || len(got.body) != size || got.err != nil {
+				t.Errorf("got status %d, %d bytes, error %v, want the whole response", got.status, len(got.body), got.err)
+			}
+		})
+	}
+	var most int64
+	for begin := time.Now(); time.Since(begin) < 150*time.Millisecond; time.Sleep(5 * time.Millisecond) {
+		used, bound := s.memory(e, "responses")
+		if most = max(most, used); used > bound {
+			t.Errorf("got %d bytes held, want at most %d", used, bound)
+		}
+	}
+	sending.Wait()
+	if most < 4*size {
+		t.Errorf("got at most %d bytes held, want several responses", most)
+	}
+	waitFor(t, "all memory released", func() bool { used, _ := s.memory(e, "responses"); return used == 0 })
+}
+
 // addSlowRoute adds a route whose requests may take long to arrive.
 func (s *testStack) addSlowRoute() {
 	s.t.Helper()
--- a/direct/entry.go
+++ b/direct/entry.go
@@ -38,6 +38,9 @@
 	memoryLimitFraction = 0.6
 	// bodyMemoryFraction is the fraction of the memory for request bodies in progress.
 	bodyMemoryFraction = 0.25
+	// responseMemoryFraction is the fraction for responses that are read before they are
+	// passed on.
+	responseMemoryFraction = 0.15
 	// callerSocketFraction is the fraction of the sockets for callers; the rest is for
 	// upstreams, peers and the store.
 	callerSocketFraction = 0.6
@@ -82,6 +85,7 @@
 	createdAt         time.Time
 	cacheStateFetches fetchLimiter
 	bodyMemory        memoryLimiter
+	responseMemory    memoryLimiter
 	callerConns       connTracker
 
 	stopping atomic.Bool
@@ -120,6 +124,7 @@
 		partEvidence:    retry.NewPartEvidence(),
 		droppedLines:    func() int64 { return 0 },
 		bodyMemory:      memoryLimiter{limit: int64(bodyMemoryFraction * float64(s.MemoryBytes))},
+		responseMemory:  memoryLimiter{limit: int64(responseMemoryFraction * float64(s.MemoryBytes))},
 		callerConns:     connTracker{idleSince: map[net.Conn]time.Time{}, awaitingHead: map[*callerConn]struct{}{}, limit: int(callerSocketFraction * float64(s.MaxSockets))},
 		gossiper:        relay.New(time.Now(), s.Name, s.Centre, s.Peer, s.Seeds, process, logger),
 		lags:            make([]lag, len(codec.Prefixes)),
--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -58,6 +58,8 @@
 	info  ResponseInfo
 	// skipped is set when a response to another request was read.
 	skipped bool
+	// buffered is the memory that is reserved for the body of the response.
+	buffered int64
 	// writeResult receives the result of sending the request.
 	writeResult chan error
 	stopCancel  func() bool
@@ -277,9 +279,18 @@
 	x.entry.pool.Discard(x.conn)
 }
 
-// bufferBody reads a response body of at most maxBufferedBody bytes. It returns false
-// and the bytes read so far if the body is larger.
+// bufferBody reads a response body of at most maxBufferedBody bytes. It returns false and
+// the bytes read so far if the body is larger, or if there is no memory for it.
 func (x *exchange) bufferBody() ([]byte, bool, error) {
+	need := x.resp.ContentLength
+	if need < 0 || need > maxBufferedBody {
+		need = maxBufferedBody
+	}
+	if !x.entry.responseMemory.reserve(need, 0, need) {
+		x.entry.scope.Counter("unbuffered").Inc(1)
+		return nil, false, nil
+	}
+	x.buffered += need
 	data, err := io.ReadAll(io.LimitReader(x.resp.Body, maxBufferedBody+1))
 	if err != nil {
 		return nil, false, err
@@ -287,6 +298,12 @@
 	return data, len(data) <= maxBufferedBody, nil
 }
 
+// releaseBody gives the memory of a buffered body back.
+func (x *exchange) releaseBody() {
+	x.entry.responseMemory.release(x.buffered)
+	x.buffered = 0
+}
+
 // idleTimeoutOf returns how long the upstream keeps the connection open while it is
 // idle, less a margin.
 func idleTimeoutOf(h http.Header) time.Duration {
--- a/direct/forward.go
+++ b/direct/forward.go
@@ -252,6 +252,7 @@
 // drainBody reads the rest of a small response so that the connection can be reused,
 // and closes the connection after a large one.
 func (x *exchange) drainBody() {
+	defer x.releaseBody()
 	if _, complete, err := x.bufferBody(); err != nil || !complete {
 		x.abort()
 		return
--- a/direct/memory.go
+++ b/direct/memory.go
@@ -9,7 +9,10 @@
 
 // memoryUses returns what grows with requests and changes.
 func (e *Entry) memoryUses() []memoryUse {
-	uses := []memoryUse{{owner: "bodies", used: e.bodyMemory.used.Load(), bound: e.bodyMemory.limit}}
+	uses := []memoryUse{
+		{owner: "bodies", used: e.bodyMemory.used.Load(), bound: e.bodyMemory.limit},
+		{owner: "responses", used: e.responseMemory.used.Load(), bound: e.responseMemory.limit},
+	}
 	history := memoryUse{owner: "history", bound: int64(len(e.itemCaches)) * maxLogBytes}
 	items := memoryUse{owner: "items"}
 	for _, c := range e.itemCaches {
--- a/direct/response.go
+++ b/direct/response.go
@@ -43,6 +43,7 @@
 func (e *Entry) forwardResponse(ctx context.Context, w http.ResponseWriter, q *request, state *forwardState, x *exchange, inFlight *place.InFlightRequest) bool {
 	inFlight.RecordEvent(time.Now())
 	data, complete, err := x.bufferBody()
+	defer x.releaseBody()
 	if err != nil {
 		x.abort()
 		return e.handleFailure(ctx, w, q, &forwardState{tried: state.tried, executed: state.executed - 1}, x.to, &failure{err: err, sent: true})
