--- a/direct/crash.go
+++ b/direct/crash.go
@@ -59,9 +59,9 @@
 	var requests, parts []retry.Crash
 	for _, x := range aborted {
 		upstream := to.ID + "@" + strconv.FormatInt(x.StartedAt, 10)
-		requests = append(requests, retry.Crash{Subject: encodeFingerprint(x.Fingerprint), Upstream: upstream, At: x.At})
+		requests = append(requests, retry.Crash{Subject: encodeFingerprint(x.Fingerprint), Upstream: upstream, Began: x.Began, At: x.At})
 		for _, part := range x.Parts {
-			parts = append(parts, retry.Crash{Subject: part, Upstream: upstream, At: x.At})
+			parts = append(parts, retry.Crash{Subject: part, Upstream: upstream, Began: x.Began, At: x.At})
 		}
 	}
 	e.log.With("upstream", to.ID).With("requests", len(requests)).With("parts", len(parts)).Infof("upstream crashed; recorded the requests running there")
@@ -135,7 +135,8 @@
 func (e *Entry) mergeEvidence(now time.Time, crashes []*wire.Crash, successes []*wire.Success) {
 	var requests, parts []retry.Crash
 	for _, c := range crashes {
-		crash := retry.Crash{Subject: c.GetSubject(), Upstream: c.GetUpstream(), At: timeAgo(now, c.GetAgo())}
+		at := timeAgo(now, c.GetAgo())
+		crash := retry.Crash{Subject: c.GetSubject(), Upstream: c.GetUpstream(), Began: timeAgo(at, c.GetRan()), At: at}
 		if c.GetWhole() {
 			requests = append(requests, crash)
 		} else {
@@ -167,7 +168,9 @@
 }
 
 func encodeCrash(now time.Time, c retry.Crash, whole bool) *wire.Crash {
-	return &wire.Crash{Subject: c.Subject, Upstream: c.Upstream, Ago: max(0, now.Sub(c.At).Milliseconds()), Whole: whole}
+	return &wire.Crash{
+		Subject: c.Subject, Upstream: c.Upstream, Ago: max(0, now.Sub(c.At).Milliseconds()), Ran: max(0, c.At.Sub(c.Began).Milliseconds()), Whole: whole,
+	}
 }
 
 func timeAgo(now time.Time, milliseconds int64) time.Time {
@@ -179,7 +182,7 @@
 // being opened.
 func (e *Entry) recordAbort(now time.Time, q *request, to fleet.Upstream, begun bool) {
 	e.recordOutcome(now, to, true)
-	x := retry.Abort{StartedAt: to.StartedAt, Fingerprint: q.computeFingerprint()}
+	x := retry.Abort{Began: q.sentAt, StartedAt: to.StartedAt, Fingerprint: q.computeFingerprint()}
 	if !begun {
 		x.Parts = q.info.Parts
 	}
--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -98,7 +98,7 @@
 		return nil, &failure{err: err}
 	}
 	x.stopCancel = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) }) // Aborts pending reads and writes.
-	q.sentTo = append(q.sentTo, to.Address)
+	q.sentTo, q.sentAt = append(q.sentTo, to.Address), time.Now()
 	x.write(e.encodeHead(q, to, lastEventID), q.body)
 	if err := x.readHead(q); err != nil {
 		x.abort()
--- a/direct/handle.go
+++ b/direct/handle.go
@@ -36,8 +36,10 @@
 	fingerprint uint64
 	// sends counts the sends that reached an upstream.
 	sends int
-	// sentTo are the addresses of upstreams to which the request was sent.
+	// sentTo are the addresses of upstreams to which the request was sent, sentAt is when it
+	// was sent last.
 	sentTo []string
+	sentAt time.Time
 	// firstEventTime is when the first event of a stream was forwarded, and expectedFirst
 	// the predicted time from the last choice of an upstream to it.
 	firstEventTime time.Time
--- a/retry/abort.go
+++ b/retry/abort.go
@@ -26,7 +26,8 @@
 
 // Abort is an exchange that ended before the response was complete.
 type Abort struct {
-	At time.Time
+	// Began is when the request was sent, At when the exchange ended.
+	Began, At time.Time
 	// StartedAt is the start of the upstream's process, Unix milliseconds.
 	StartedAt   int64
 	Fingerprint uint64
--- a/retry/evidence.go
+++ b/retry/evidence.go
@@ -15,6 +15,10 @@
 	// crashSpacing is the shortest time between two crashes that count as two for a prompt
 	// part: upstreams that fail together say little about the requests that ran there.
 	crashSpacing = 250 * time.Millisecond
+	// overlapSlack is how long before the last crash a request may have been sent to count as
+	// another one: copies of a request that run for longer when upstreams fail together are
+	// one crash. It covers the time for which entries hear of each other.
+	overlapSlack = 250 * time.Millisecond
 	// successWindow is how long before a crash a complete response shows that the subject
 	// did not cause the crash.
 	successWindow = 5 * time.Second
@@ -34,7 +38,9 @@
 	Subject string
 	// Upstream identifies the process that crashed: the upstream and its start.
 	Upstream string
-	At       time.Time
+	// Began is when the request was sent there; zero means At.
+	Began time.Time
+	At    time.Time
 }
 
 // Success states that a request with the subject got its whole response.
@@ -43,20 +49,24 @@
 	At      time.Time
 }
 
+// crashTime is when a request was sent to an upstream and when that crashed.
+type crashTime struct{ began, at time.Time }
+
 // Evidence finds what crashes upstreams: whole requests, or parts of prompts whatever else
 // the request holds. Each process of an upstream counts once. A whole response refutes the
 // crashes before it and those shortly after it. The evidence of several processes merges in
 // any order and any number of times. It is safe for concurrent use.
 type Evidence struct {
-	// spacing is the shortest time between two crashes that count as two, quarantine how
-	// long after the last crash requests are refused.
+	// spacing is the shortest time between two crashes that count as two; 0 means that the
+	// request must have been sent after the earlier one. quarantine is how long after the
+	// last crash requests are refused.
 	spacing    time.Duration
 	quarantine time.Duration
 
 	mu sync.Mutex
 	// crashes holds the time of each crash by subject and process, quarantined the subjects
 	// whose requests are refused.
-	crashes     map[string]map[string]time.Time
+	crashes     map[string]map[string]crashTime
 	quarantined map[string]bool
 	successes   map[string]time.Time
 	count       int
@@ -66,13 +76,14 @@
 func NewPartEvidence() *Evidence { return newEvidence(crashSpacing, partQuarantine) }
 
 // NewRequestEvidence returns an empty set about whole requests. The retries of an attempt
-// crash upstreams within milliseconds, so that each crash counts.
+// crash upstreams within milliseconds, so that time alone does not tell two crashes from
+// upstreams that fail together.
 func NewRequestEvidence() *Evidence { return newEvidence(0, crashRecordTTL) }
 
 func newEvidence(spacing, quarantine time.Duration) *Evidence {
 	return &Evidence{
 		spacing: spacing, quarantine: quarantine,
-		crashes: map[string]map[string]time.Time{}, quarantined: map[string]bool{}, successes: map[string]time.Time{},
+		crashes: map[string]map[string]crashTime{}, quarantined: map[string]bool{}, successes: map[string]time.Time{},
 	}
 }
 
@@ -90,12 +101,15 @@
 			continue
 		}
 		if p.crashes[c.Subject] == nil {
-			p.crashes[c.Subject] = map[string]time.Time{}
+			p.crashes[c.Subject] = map[string]crashTime{}
 		}
 		if _, ok := p.crashes[c.Subject][c.Upstream]; ok {
 			continue
 		}
-		p.crashes[c.Subject][c.Upstream] = c.At
+		if c.Began.IsZero() {
+			c.Began = c.At
+		}
+		p.crashes[c.Subject][c.Upstream] = crashTime{began: c.Began, at: c.At}
 		p.count++
 		added = append(added, c)
 	}
@@ -132,8 +146,8 @@
 			p.successes[s.Subject] = s.At
 		}
 		removed := 0
-		for upstream, at := range p.crashes[s.Subject] {
-			if at.Sub(s.At) < successWindow {
+		for upstream, t := range p.crashes[s.Subject] {
+			if t.at.Sub(s.At) < successWindow {
 				delete(p.crashes[s.Subject], upstream)
 				removed++
 			}
@@ -169,8 +183,8 @@
 	p.trim(now)
 	var list []Crash
 	for subject, crashes := range p.crashes {
-		for upstream, at := range crashes {
-			list = append(list, Crash{Subject: subject, Upstream: upstream, At: at})
+		for upstream, t := range crashes {
+			list = append(list, Crash{Subject: subject, Upstream: upstream, Began: t.began, At: t.at})
 		}
 	}
 	return list
@@ -178,9 +192,9 @@
 
 func (p *Evidence) lastCrash(subject string) time.Time {
 	var last time.Time
-	for _, at := range p.crashes[subject] {
-		if at.After(last) {
-			last = at
+	for _, t := range p.crashes[subject] {
+		if t.at.After(last) {
+			last = t.at
 		}
 	}
 	return last
@@ -219,32 +233,40 @@
 	}
 }
 
-// countCrashes counts the crashes that are not explained and at least the spacing apart.
-func (p *Evidence) countCrashes(crashes map[string]time.Time, explained map[string]bool) int {
-	var times []time.Time
-	for upstream, at := range crashes {
+// countCrashes counts the crashes that are not explained and tell more than the one before.
+func (p *Evidence) countCrashes(crashes map[string]crashTime, explained map[string]bool) int {
+	var times []crashTime
+	for upstream, t := range crashes {
 		if !explained[upstream] {
-			times = append(times, at)
+			times = append(times, t)
 		}
 	}
-	slices.SortFunc(times, time.Time.Compare)
+	slices.SortFunc(times, func(a, b crashTime) int { return a.at.Compare(b.at) })
 	n := 0
-	var last time.Time
-	for _, at := range times {
-		if n == 0 || at.Sub(last) >= p.spacing {
+	var last crashTime
+	for _, t := range times {
+		if n == 0 || p.isAnother(last, t) {
 			n++
-			last = at
+			last = t
 		}
 	}
 	return n
 }
 
+// isAnother reports whether a crash counts beside the one before it.
+func (p *Evidence) isAnother(last, next crashTime) bool {
+	if p.spacing > 0 {
+		return next.at.Sub(last.at) >= p.spacing
+	}
+	return !next.began.Before(last.at.Add(-overlapSlack))
+}
+
 // trim removes the crashes that are too old, and subjects above the bound: those with the
 // fewest crashes first, the oldest of them before the others.
 func (p *Evidence) trim(now time.Time) {
 	p.count = 0
 	for subject, crashes := range p.crashes {
-		maps.DeleteFunc(crashes, func(_ string, at time.Time) bool { return now.Sub(at) >= crashRecordTTL })
+		maps.DeleteFunc(crashes, func(_ string, t crashTime) bool { return now.Sub(t.at) >= crashRecordTTL })
 		if len(crashes) == 0 {
 			delete(p.crashes, subject)
 		}
--- a/retry/evidence_test.go
+++ b/retry/evidence_test.go
@@ -180,7 +180,9 @@
 		"answered shortly before each": {[]step{
 			{0.9, "", []string{"x"}}, {1, "a@1", []string{"x"}}, {1.9, "", []string{"x"}}, {2, "b@1", []string{"x"}}, {2.9, "", []string{"x"}}, {3, "c@1", []string{"x"}},
 		}, 3, nil},
-		"answered elsewhere afterwards": {[]step{{1, "a@1", []string{"x"}}, {1, "b@1", []string{"x"}}, {1, "c@1", []string{"x"}}, {1.2, "", []string{"x"}}}, 2, nil},
+		"answered elsewhere afterwards":      {[]step{{1, "a@1", []string{"x"}}, {1, "b@1", []string{"x"}}, {1, "c@1", []string{"x"}}, {1.2, "", []string{"x"}}}, 2, nil},
+		"fail together while it runs":        {[]step{{10, "a@1", []string{"long"}}, {10.01, "b@1", []string{"long"}}, {10.02, "c@1", []string{"long"}}}, 11, nil},
+		"one after the other, each run long": {[]step{{10, "a@1", []string{"long"}}, {20, "b@1", []string{"long"}}, {30, "c@1", []string{"long"}}}, 30, []string{"long"}},
 		"beside the one that crashes them": {[]step{
 			{1, "a@1", []string{"x", "y"}}, {2, "b@1", []string{"x"}}, {3, "c@1", []string{"x", "y"}}, {4, "d@1", []string{"x", "y"}},
 		}, 4, []string{"x"}},
@@ -197,12 +199,16 @@
 				}
 				var list []Crash
 				for _, r := range s.requests {
-					list = append(list, Crash{Subject: r, Upstream: s.upstream, At: second(s.at)})
+					began := s.at
+					if r == "long" {
+						began -= 5
+					}
+					list = append(list, Crash{Subject: r, Upstream: s.upstream, Began: second(began), At: second(s.at)})
 				}
 				p.AddCrashes(second(s.at), list)
 			}
 			var got []string
-			for _, r := range []string{"x", "y"} {
+			for _, r := range []string{"x", "y", "long"} {
 				if _, ok := p.FindQuarantined(second(test.at), r); ok {
 					got = append(got, r)
 				}
