--- a/soak/run.go
+++ b/soak/run.go
@@ -111,9 +111,11 @@
 	history   history
 	routes    map[string]stand.Route
 	// changing is held while the configuration is changed.
-	changing     sync.Mutex
-	addedRoutes  []stand.Route
-	version      uint64
+	changing    sync.Mutex
+	addedRoutes []stand.Route
+	version     uint64
+	// filler makes the configuration large: it is in the name of its last service.
+	filler       string
 	mu           sync.Mutex
 	disturbances []disturbance
 	// pauses are the times in which entries were stopped by SIGSTOP.
@@ -147,9 +149,11 @@
 	for i := range o.Callers {
 		callers.Go(func() { r.runCaller(i) })
 	}
+	callers.Go(r.watchMemory)
 	var series sync.WaitGroup
 	series.Go(r.injectSeries)
 	series.Go(r.injectAnswers)
+	series.Go(r.injectBulk)
 	r.injectPlan()
 	series.Wait()
 	r.delayedTasks.Wait()
@@ -196,7 +200,14 @@
 }
 
 func (r *runner) config() []byte {
-	return stand.EncodeConfig(r.version, append(r.initialRoutes(), r.addedRoutes...), []string{service}, map[string][]string{"team": {apiKey}})
+	return stand.EncodeConfig(r.version, append(r.initialRoutes(), r.addedRoutes...), r.services(), map[string][]string{"team": {apiKey}})
+}
+
+func (r *runner) services() []string {
+	if r.filler == "" {
+		return []string{service}
+	}
+	return []string{service, r.filler}
 }
 
 // initialRoutes returns the routes of the first configuration.
@@ -229,7 +240,7 @@
 	boot := stand.BootFile{
 		Name: p.name, Zone: "zone-a", IP: p.ip, StoreAddress: p.storeRelay.listener.Addr().String(), SeedIPs: seedNodes,
 		ListenPort: portListen, ReadinessPort: portReady, ControlPort: portControl, InternalPort: portInternal,
-		GracePeriod: stopGracePeriod, RetryRatio: budgetRatio, RetrySlack: budgetSlack, MemoryMB: 256, MaxFDs: 2000,
+		GracePeriod: stopGracePeriod, RetryRatio: budgetRatio, RetrySlack: budgetSlack, MemoryMB: entryMemoryMB, MaxFDs: 2000,
 	}
 	if err := os.WriteFile(p.bootFile, boot.Encode(), 0o644); err != nil {
 		return err
