direct: a stop keeps time to refuse and to exit, however short the grace is

Cause, by its log: new requests were taken for 2.5 s of a grace of 3 s, as before; the drain ended after 2.60 s, and the exit took some 0.4 s from there. Ruled out: a request in progress (the drain did not time out), the loops (stopped is their end).

--- a/direct/stop.go
+++ b/direct/stop.go
@@ -14,6 +14,8 @@
 	// the load balancer, which probes each second and removes an entry after two
 	// failures, stops sending to it.
 	unreadyPeriod = 2500 * time.Millisecond
+	// unreadyFraction is the largest fraction of a short grace period for that.
+	unreadyFraction = 0.7
 	// drainPollInterval is the time between two checks for requests in progress.
 	drainPollInterval = 20 * time.Millisecond
 	// stopMargin is the longest time between the end of the requests in progress and the
@@ -38,10 +40,7 @@
 func newStopPlan(now time.Time, grace time.Duration) *stopPlan {
 	killAt := now.Add(grace)
 	endAt := killAt.Add(-min(stopMargin, time.Duration(stopMarginFraction*float64(grace))))
-	refuseAt := now.Add(unreadyPeriod)
-	if refuseAt.After(endAt) {
-		refuseAt = endAt
-	}
+	refuseAt := now.Add(min(unreadyPeriod, time.Duration(unreadyFraction*float64(grace)).Round(time.Millisecond)))
 	return &stopPlan{refuseAt: refuseAt, endAt: endAt, killAt: killAt}
 }
 
--- a/tests/stack_test.go
+++ b/tests/stack_test.go
@@ -319,7 +319,9 @@
 func (s *testStack) waitReady() {
 	s.t.Helper()
 	for _, p := range append(append([]*process{}, s.entries...), s.agents...) {
-		s.waitFor(p.name+" ready", 20*time.Second, func() bool { return s.isReady(p) })
+		if !s.becomes(20*time.Second, func() bool { return s.isReady(p) }) {
+			s.t.Fatalf("%s ready: not within 20s; exited: %v, listen %s, peer %s, admin %s; its log:\n%s", p.name, p.hasExited(), p.listen, p.peer, p.admin, p.logText())
+		}
 	}
 }
 
@@ -335,13 +337,21 @@
 
 func (s *testStack) waitFor(what string, timeout time.Duration, condition func() bool) {
 	s.t.Helper()
+	if !s.becomes(timeout, condition) {
+		s.t.Fatalf("%s: not within %v", what, timeout)
+	}
+}
+
+// becomes waits until a condition holds and reports whether it did within the timeout.
+func (s *testStack) becomes(timeout time.Duration, condition func() bool) bool {
 	deadline := time.Now().Add(timeout)
 	for !condition() {
 		if time.Now().After(deadline) {
-			s.t.Fatalf("%s: not within %v", what, timeout)
+			return false
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
+	return true
 }
 
 // callerResponse is the response that a caller got.
