--- a/agent/upstream_test.go
+++ b/agent/upstream_test.go
@@ -1,15 +1,12 @@
 package agent
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
-	"sync/atomic"
 	"testing"
 
+	"cactustide/fakes"
 	"cactustide/setup"
 	"cactustide/wire"
 )
@@ -30,28 +27,15 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
+			server, err := fakes.NewCutServer(test.response)
 			if err != nil {
 				t.Fatal(err)
 			}
-			defer func() { _ = l.Close() }()
-			var length atomic.Int64
-			go func() {
-				for {
-					c, err := l.Accept()
-					if err != nil {
-						return
-					}
-					if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-						_, _ = io.WriteString(c, test.response[:length.Load()]) // The agent may have closed it.
-					}
-					_ = c.Close()
-				}
-			}()
-			u := newUpstream(setup.Upstream{Address: l.Addr().String(), Kind: setup.KindPlain}, 1<<20, func() uint64 { return 1 })
+			defer server.Close()
+			u := newUpstream(setup.Upstream{Address: server.Address, Kind: setup.KindPlain}, 1<<20, func() uint64 { return 1 })
 			defer u.close()
 			for n := range len(test.response) + 1 {
-				length.Store(int64(n))
+				server.SetLength(n)
 				got := u.run(context.Background(), &wire.Job{Method: http.MethodGet, Path: "/a", Id: fmt.Sprint(n), Once: true}, 1, responseReceiver{
 					onHead: func(int, string) {}, onData: func([]byte, int64) error { return nil },
 				})
--- a/direct/crash.go
+++ b/direct/crash.go
@@ -42,9 +42,9 @@
 		q.log.With("request", q.info.ID).With("part", part).Infof("refused; requests with this part of the prompt crash upstreams")
 		return true
 	}
-	print, ok := e.requestEvidence.FindQuarantined(now, encodeFingerprint(q.computeFingerprint()))
+	subject, ok := e.requestEvidence.FindQuarantined(now, encodeFingerprint(q.computeFingerprint()))
 	if ok {
-		q.log.With("request", q.info.ID).With("print", print).With("crashes", e.requestEvidence.Count(print)).Infof("refused; this request crashes upstreams")
+		q.log.With("request", q.info.ID).With("print", subject).With("crashes", e.requestEvidence.Count(subject)).Infof("refused; this request crashes upstreams")
 	}
 	return ok
 }
--- a/emul/crash.go
+++ b/emul/crash.go
@@ -271,7 +271,7 @@
 	}
 	before, repeated := e.aborted[run.fingerprint]
 	e.aborted[run.fingerprint] = s.now
-	if !s.Others && !(repeated && s.now.Sub(before) <= crashRepeat) {
+	if found := s.Others || repeated && s.now.Sub(before) <= crashRepeat; !found {
 		return
 	}
 	e.records.Add(s.now, run.fingerprint, id)
--- a/retry/evidence.go
+++ b/retry/evidence.go
@@ -89,87 +89,87 @@
 
 // AddCrashes adds crashes and returns those that were new, most crashes of one subject
 // first, and the successes that refute others. Both are for the peers.
-func (p *Evidence) AddCrashes(now time.Time, list []Crash) (added []Crash, refuting []Success) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+func (e *Evidence) AddCrashes(now time.Time, list []Crash) (added []Crash, refuting []Success) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	for _, c := range list {
 		if now.Sub(c.At) >= crashRecordTTL {
 			continue
 		}
-		if at, ok := p.successes[c.Subject]; ok && c.At.Sub(at) < successWindow {
+		if at, ok := e.successes[c.Subject]; ok && c.At.Sub(at) < successWindow {
 			refuting = append(refuting, Success{Subject: c.Subject, At: at})
 			continue
 		}
-		if p.crashes[c.Subject] == nil {
-			p.crashes[c.Subject] = map[string]crashTime{}
+		if e.crashes[c.Subject] == nil {
+			e.crashes[c.Subject] = map[string]crashTime{}
 		}
-		if _, ok := p.crashes[c.Subject][c.Upstream]; ok {
+		if _, ok := e.crashes[c.Subject][c.Upstream]; ok {
 			continue
 		}
 		if c.Began.IsZero() {
 			c.Began = c.At
 		}
-		p.crashes[c.Subject][c.Upstream] = crashTime{began: c.Began, at: c.At}
-		p.count++
+		e.crashes[c.Subject][c.Upstream] = crashTime{began: c.Began, at: c.At}
+		e.count++
 		added = append(added, c)
 	}
-	slices.SortStableFunc(added, func(a, b Crash) int { return cmp.Compare(len(p.crashes[b.Subject]), len(p.crashes[a.Subject])) })
-	p.trim(now)
-	p.evaluate()
+	slices.SortStableFunc(added, func(a, b Crash) int { return cmp.Compare(len(e.crashes[b.Subject]), len(e.crashes[a.Subject])) })
+	e.trim(now)
+	e.evaluate()
 	return added, refuting
 }
 
 // Count returns the number of crashes of a subject.
-func (p *Evidence) Count(subject string) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.crashes[subject])
+func (e *Evidence) Count(subject string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.crashes[subject])
 }
 
 // AddSuccess records that a request with the subjects got its whole response, and returns
 // the successes of those that were suspected until now. They are for the peers.
-func (p *Evidence) AddSuccess(now time.Time, subjects []string) []Success {
+func (e *Evidence) AddSuccess(now time.Time, subjects []string) []Success {
 	list := make([]Success, 0, len(subjects))
 	for _, subject := range subjects {
 		list = append(list, Success{Subject: subject, At: now})
 	}
-	return p.AddSuccesses(now, list)
+	return e.AddSuccesses(now, list)
 }
 
 // AddSuccesses merges successes and returns those of subjects that were suspected until now.
-func (p *Evidence) AddSuccesses(now time.Time, list []Success) []Success {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+func (e *Evidence) AddSuccesses(now time.Time, list []Success) []Success {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	var clearing []Success
 	for _, s := range list {
-		if s.At.After(p.successes[s.Subject]) {
-			p.successes[s.Subject] = s.At
+		if s.At.After(e.successes[s.Subject]) {
+			e.successes[s.Subject] = s.At
 		}
 		removed := 0
-		for upstream, t := range p.crashes[s.Subject] {
+		for upstream, t := range e.crashes[s.Subject] {
 			if t.at.Sub(s.At) < successWindow {
-				delete(p.crashes[s.Subject], upstream)
+				delete(e.crashes[s.Subject], upstream)
 				removed++
 			}
 		}
 		if removed > 0 {
-			p.count -= removed
+			e.count -= removed
 			clearing = append(clearing, s)
 		}
 	}
 	if len(clearing) > 0 {
-		p.evaluate()
+		e.evaluate()
 	}
-	p.trimSuccesses(now)
+	e.trimSuccesses(now)
 	return clearing
 }
 
 // FindQuarantined returns the first of the subjects whose requests are refused.
-func (p *Evidence) FindQuarantined(now time.Time, subjects ...string) (string, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+func (e *Evidence) FindQuarantined(now time.Time, subjects ...string) (string, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	for _, subject := range subjects {
-		if p.quarantined[subject] && now.Sub(p.lastCrash(subject)) < p.quarantine {
+		if e.quarantined[subject] && now.Sub(e.lastCrash(subject)) < e.quarantine {
 			return subject, true
 		}
 	}
@@ -177,12 +177,12 @@
 }
 
 // Crashes returns all crashes, for a peer that has just started.
-func (p *Evidence) Crashes(now time.Time) []Crash {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.trim(now)
+func (e *Evidence) Crashes(now time.Time) []Crash {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.trim(now)
 	var list []Crash
-	for subject, crashes := range p.crashes {
+	for subject, crashes := range e.crashes {
 		for upstream, t := range crashes {
 			list = append(list, Crash{Subject: subject, Upstream: upstream, Began: t.began, At: t.at})
 		}
@@ -190,9 +190,9 @@
 	return list
 }
 
-func (p *Evidence) lastCrash(subject string) time.Time {
+func (e *Evidence) lastCrash(subject string) time.Time {
 	var last time.Time
-	for _, t := range p.crashes[subject] {
+	for _, t := range e.crashes[subject] {
 		if t.at.After(last) {
 			last = t.at
 		}
@@ -202,17 +202,17 @@
 
 // evaluate decides anew which subjects are quarantined. The one with the most crashes comes
 // first; a crash that it explains does not count for the others that were there by chance.
-func (p *Evidence) evaluate() {
-	clear(p.quarantined)
+func (e *Evidence) evaluate() {
+	clear(e.quarantined)
 	explained := map[string]bool{}
 	for {
 		best := 0
 		var worst []string
-		for subject, crashes := range p.crashes {
-			if p.quarantined[subject] {
+		for subject, crashes := range e.crashes {
+			if e.quarantined[subject] {
 				continue
 			}
-			n := p.countCrashes(crashes, explained)
+			n := e.countCrashes(crashes, explained)
 			if n >= evidenceThreshold && n >= best {
 				if n > best {
 					worst = worst[:0]
@@ -225,8 +225,8 @@
 			return
 		}
 		for _, subject := range worst {
-			p.quarantined[subject] = true
-			for upstream := range p.crashes[subject] {
+			e.quarantined[subject] = true
+			for upstream := range e.crashes[subject] {
 				explained[upstream] = true
 			}
 		}
@@ -234,7 +234,7 @@
 }
 
 // countCrashes counts the crashes that are not explained and tell more than the one before.
-func (p *Evidence) countCrashes(crashes map[string]crashTime, explained map[string]bool) int {
+func (e *Evidence) countCrashes(crashes map[string]crashTime, explained map[string]bool) int {
 	var times []crashTime
 	for upstream, t := range crashes {
 		if !explained[upstream] {
@@ -245,7 +245,7 @@
 	n := 0
 	var last crashTime
 	for _, t := range times {
-		if n == 0 || p.isAnother(last, t) {
+		if n == 0 || e.isAnother(last, t) {
 			n++
 			last = t
 		}
@@ -254,48 +254,48 @@
 }
 
 // isAnother reports whether a crash counts beside the one before it.
-func (p *Evidence) isAnother(last, next crashTime) bool {
-	if p.spacing > 0 {
-		return next.at.Sub(last.at) >= p.spacing
+func (e *Evidence) isAnother(last, next crashTime) bool {
+	if e.spacing > 0 {
+		return next.at.Sub(last.at) >= e.spacing
 	}
 	return !next.began.Before(last.at.Add(-overlapSlack))
 }
 
 // trim removes the crashes that are too old, and subjects above the bound: those with the
 // fewest crashes first, the oldest of them before the others.
-func (p *Evidence) trim(now time.Time) {
-	p.count = 0
-	for subject, crashes := range p.crashes {
+func (e *Evidence) trim(now time.Time) {
+	e.count = 0
+	for subject, crashes := range e.crashes {
 		maps.DeleteFunc(crashes, func(_ string, t crashTime) bool { return now.Sub(t.at) >= crashRecordTTL })
 		if len(crashes) == 0 {
-			delete(p.crashes, subject)
+			delete(e.crashes, subject)
 		}
-		p.count += len(crashes)
+		e.count += len(crashes)
 	}
-	for p.count > maxCrashes {
-		subject := p.leastSuspect()
-		p.count -= len(p.crashes[subject])
-		delete(p.crashes, subject)
-		delete(p.quarantined, subject)
+	for e.count > maxCrashes {
+		subject := e.leastSuspect()
+		e.count -= len(e.crashes[subject])
+		delete(e.crashes, subject)
+		delete(e.quarantined, subject)
 	}
 }
 
-func (p *Evidence) trimSuccesses(now time.Time) {
-	if len(p.successes) > maxSuccesses {
-		maps.DeleteFunc(p.successes, func(_ string, at time.Time) bool { return now.Sub(at) >= successWindow })
+func (e *Evidence) trimSuccesses(now time.Time) {
+	if len(e.successes) > maxSuccesses {
+		maps.DeleteFunc(e.successes, func(_ string, at time.Time) bool { return now.Sub(at) >= successWindow })
 	}
-	if len(p.successes) > maxSuccesses {
-		clear(p.successes) // They come again within successWindow if they matter.
+	if len(e.successes) > maxSuccesses {
+		clear(e.successes) // They come again within successWindow if they matter.
 	}
 }
 
 // leastSuspect returns the subject with the fewest crashes, and of these the one whose last
 // crash is the longest ago.
-func (p *Evidence) leastSuspect() string {
+func (e *Evidence) leastSuspect() string {
 	least, fewest := "", 0
 	var oldest time.Time
-	for subject, crashes := range p.crashes {
-		at := p.lastCrash(subject)
+	for subject, crashes := range e.crashes {
+		at := e.lastCrash(subject)
 		if least == "" || cmp.Or(cmp.Compare(len(crashes), fewest), at.Compare(oldest)) < 0 {
 			least, fewest, oldest = subject, len(crashes), at
 		}
