--- a/direct/admin_test.go
+++ b/direct/admin_test.go
@@ -12,7 +12,7 @@
 	"cactustide/platform/stand"
 )
 
-func (s *testStack) get(t *testing.T, e *testEntry, path string) (int, string) {
+func (s *testStack) get(t testing.TB, e *testEntry, path string) (int, string) {
 	t.Helper()
 	resp, err := s.client.Get("http://" + e.settings.Admin + path)
 	if err != nil {
--- a/direct/stack_test.go
+++ b/direct/stack_test.go
@@ -30,7 +30,7 @@
 
 // testStack is a number of entries in front of a fake platform.
 type testStack struct {
-	t        *testing.T
+	t        testing.TB
 	store    *stand.Store
 	replicas []*stand.Replica
 	entries  []*testEntry
@@ -48,6 +48,8 @@
 	fullWait bool
 	// memoryBytes is the memory of an entry; 0 means 256 MB.
 	memoryBytes int64
+	// maxSockets is the number of connections of an entry; 0 means 1,000.
+	maxSockets int
 }
 
 // testEntry is an entry whose calls to the store can be made to fail.
@@ -70,14 +72,14 @@
 	return stand.EncodeConfig(version, routes, []string{"desk"}, map[string][]string{"team-one": {testKey}})
 }
 
-func newStack(t *testing.T, entries int) *testStack {
+func newStack(t testing.TB, entries int) *testStack {
 	t.Helper()
 	return newStackOf(t, stackOptions{entries: entries})
 }
 
 // newStackOf starts a store, two replicas and a number of entries, and waits until the
 // entries are ready.
-func newStackOf(t *testing.T, options stackOptions) *testStack {
+func newStackOf(t testing.TB, options stackOptions) *testStack {
 	t.Helper()
 	s := &testStack{t: t, client: &http.Client{Transport: &http.Transport{}}, options: options}
 	var err error
@@ -115,6 +117,9 @@
 	if s.options.memoryBytes > 0 {
 		settings.MemoryBytes = s.options.memoryBytes
 	}
+	if s.options.maxSockets > 0 {
+		settings.MaxSockets = s.options.maxSockets
+	}
 	for _, other := range s.entries {
 		settings.Seeds = append(settings.Seeds, other.settings.Peer)
 	}
@@ -174,7 +179,7 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-func waitFor(t *testing.T, what string, done func() bool) {
+func waitFor(t testing.TB, what string, done func() bool) {
 	t.Helper()
 	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 		if done() {
