quota, direct: log and count the rates that upstreams name

What users saw: an upstream that names a rate gets far more requests. The logs could not tell whether no entry reads the rate, each keeps it by itself, or they know too late.

Package quota holds what is known of the rate of each process of an upstream, with its version, source and age. Nothing acts on it yet. New lines: the rate is named, changed or ended (request, rate, source), a text that is no rate, and each send to such an upstream with the rate, source and age known to the sender. New counters: rates_named, rates_ended, invalid_rates, limited_sends. With these, no line of the first kind means the first hypothesis; lines at each entry, and sends within a share of the rate at each, the second; a large time from the first line to the last send, the third.

A state changes by a response to a request that was sent after the state became known, or by a message with a higher version, so that neither a late response nor a late message brings back what has changed.

--- a/direct/entry.go
+++ b/direct/entry.go
@@ -20,6 +20,7 @@
 	"cactustide/fleet"
 	"cactustide/meter"
 	"cactustide/place"
+	"cactustide/quota"
 	"cactustide/relay"
 	"cactustide/retry"
 	"cactustide/rules"
@@ -70,6 +71,7 @@
 	// the upstreams to which a connection is being opened after an aborted exchange.
 	requestEvidence *retry.Evidence
 	partEvidence    *retry.Evidence
+	quota           *quota.Ledger
 	probing         sync.Map
 	droppedLines    func() int64
 	configTime      atomic.Pointer[time.Time]
@@ -122,6 +124,7 @@
 		aborts:          retry.NewAbortTracker(),
 		requestEvidence: retry.NewRequestEvidence(),
 		partEvidence:    retry.NewPartEvidence(),
+		quota:           quota.NewLedger(),
 		droppedLines:    func() int64 { return 0 },
 		bodyMemory:      memoryLimiter{limit: int64(bodyMemoryFraction * float64(s.MemoryBytes))},
 		responseMemory:  memoryLimiter{limit: int64(responseMemoryFraction * float64(s.MemoryBytes))},
@@ -283,6 +286,7 @@
 				e.balancer.Forget(id)
 				e.log.With("upstream", id).Infof("removed an upstream that did not register again after the store outage")
 			}
+			e.quota.Expire(now, e.isCurrent)
 			if t := e.rules.Get(); t != nil {
 				e.callerConns.sweep(now, t.Document.Limits.IdleTimeout, t.Document.Limits.HeaderTimeout)
 			}
--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -16,6 +16,7 @@
 
 	"cactustide/conn"
 	"cactustide/fleet"
+	"cactustide/quota"
 )
 
 const (
@@ -99,6 +100,7 @@
 	}
 	x.stopCancel = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) }) // Aborts pending reads and writes.
 	q.sentTo, q.sentAt = append(q.sentTo, to.Address), time.Now()
+	e.countLimitedSend(q, quota.KeyOf(to))
 	x.write(e.encodeHead(q, to, lastEventID), q.body)
 	if err := x.readHead(q); err != nil {
 		x.abort()
@@ -206,6 +208,7 @@
 			}
 			x.resp, x.info = resp, info
 			x.recordPause(q)
+			x.recordRate(q)
 			return nil
 		}
 		x.skipped = true
--- a/direct/types.go
+++ b/direct/types.go
@@ -83,6 +83,11 @@
 	// InvalidRetryAfter is the text if it is not a time.
 	RetryAfter        time.Duration
 	InvalidRetryAfter string
+	// Rate is the number of requests per second that the upstream takes from all entries
+	// together, if NamesRate; InvalidRate is the text if it is no rate.
+	Rate        float64
+	NamesRate   bool
+	InvalidRate string
 }
 
 // HeaderCodec reads and writes the platform's headers.
