quota: entries keep the rate that an upstream names together (LIMIT)

What callers and users saw: upstreams that had named 3.3 and 1 requests a second got 39 and 13 in 4 s (allowed 25 and 11), and 159 to 167 in TestNamedRate. Cause: a rate that holds for the sum of all entries was read by none; all that entries keep by themselves (pauses, connections) is no sum. Class: a bound over the fleet without an owner. Design: for each limited upstream the entry with the highest hash of its address (rendezvous hashing among the living members) hands out turns from a token bucket (golang.org/x/time/rate) at 0.9 of the rate; a turn is one send, whatever it is for. An entry asks by one datagram when a choice passes the upstream over, and gets turns that begin while a request waits; it sends nothing without one. Turns in late answers lapse. An entry that becomes the owner begins 1 s later, and hands out only the part of the rate that the living members are of those heard of within a minute, so that two halves of a cut fleet stay within the rate. Where no other upstream is left, requests wait by tier and team for up to half of their latency target, else they get 503 with the time of the next turn, spread by up to a half. Ruled out: an even split (a rate of 0.4 among 60 entries starves, load on one entry uses a share); each entry counting what it hears of others' sends (requests of the same 25 ms are not seen). New: turns, waiting, dealing and takeover (quota), a sole upstream with a rate, texts, a new process (direct).

--- a/cmds/entries.go
+++ b/cmds/entries.go
@@ -44,7 +44,7 @@
 	code := ExitOK
 	versions := map[uint64]bool{}
 	w := tabwriter.NewWriter(s.out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "entry\tready\tversion\tage s\tstore down s\tstore age s\twatches\tentries\tupstreams\tbanned\tlapsed\tleaving\tpaused\trequests\tdropped lines\tbudget")
+	fmt.Fprintln(w, "entry\tready\tversion\tage s\tstore down s\tstore age s\twatches\tentries\tupstreams\tbanned\tlapsed\tleaving\tpaused\tlimited\trequests\tdropped lines\tbudget")
 	for _, address := range addresses {
 		status, err := fetchStatus(address)
 		if err != nil {
@@ -71,7 +71,7 @@
 		storeDown = max(storeDown, p.GetDown())
 		storeAge = max(storeAge, p.GetAge())
 	}
-	banned, lapsed, leaving, paused := 0, 0, 0, 0
+	banned, lapsed, leaving, paused, limited := 0, 0, 0, 0, 0
 	for _, u := range status.GetUpstreams() {
 		if u.GetBanned() {
 			banned++
@@ -85,9 +85,12 @@
 		if u.GetPaused() > 0 {
 			paused++
 		}
+		if u.GetRate().GetRate() > 0 {
+			limited++
+		}
 	}
-	fmt.Fprintf(w, "%s\t%v\t%d\t%.1f\t%.1f\t%.1f\t%v\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t", status.GetName(), status.GetReady(), status.GetVersion(), status.GetAge(),
-		storeDown, storeAge, status.GetWatcher(), status.GetEntries(), len(status.GetUpstreams()), banned, lapsed, leaving, paused, status.GetRequests(), status.GetDropped())
+	fmt.Fprintf(w, "%s\t%v\t%d\t%.1f\t%.1f\t%.1f\t%v\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t", status.GetName(), status.GetReady(), status.GetVersion(), status.GetAge(),
+		storeDown, storeAge, status.GetWatcher(), status.GetEntries(), len(status.GetUpstreams()), banned, lapsed, leaving, paused, limited, status.GetRequests(), status.GetDropped())
 	for _, service := range status.GetServices() {
 		fmt.Fprintf(w, "%s %.0f ", service.GetName(), service.GetBudget())
 	}
--- a/direct/admin.go
+++ b/direct/admin.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"cactustide/place"
+	"cactustide/quota"
 	"cactustide/wire"
 )
 
@@ -93,6 +94,7 @@
 		if !u.PausedUntil.IsZero() {
 			status.Paused = u.PausedUntil.Sub(now).Seconds()
 		}
+		status.Rate = e.rateStatus(now, quota.KeyOf(u.Upstream))
 		s.Upstreams = append(s.Upstreams, status)
 	}
 	if t := e.rules.Get(); t != nil {
--- a/direct/entry.go
+++ b/direct/entry.go
@@ -86,9 +86,11 @@
 	duty              *watchDuty
 	createdAt         time.Time
 	cacheStateFetches fetchLimiter
-	bodyMemory        memoryLimiter
-	responseMemory    memoryLimiter
-	callerConns       connTracker
+	// limitCursor is the place in the list of limits of the next one in a full message.
+	limitCursor    int
+	bodyMemory     memoryLimiter
+	responseMemory memoryLimiter
+	callerConns    connTracker
 
 	stopping atomic.Bool
 	// refusing is set while new requests are answered with 503.
@@ -145,6 +147,7 @@
 	e.gossiper.Positions = e.positions
 	e.gossiper.Snapshot = e.snapshot
 	e.gossiper.CacheState = e.cacheState
+	e.gossiper.Limits = e.limitsInTurn
 	e.gossiper.OnPeerUp = e.fetchCacheState
 	return e
 }
--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -16,7 +16,6 @@
 
 	"cactustide/conn"
 	"cactustide/fleet"
-	"cactustide/quota"
 )
 
 const (
@@ -93,6 +92,10 @@
 		e.pool.Discard(c)
 		return nil, &failure{err: errs.New("the upstream was withdrawn: %s", string(w)), withdrawn: w}
 	}
+	if !e.takeTurn(time.Now(), q, to) {
+		e.pool.Discard(c)
+		return nil, &failure{err: errs.New("another request took the turn"), withdrawn: fleet.WithdrawalLimited}
+	}
 	x := &exchange{entry: e, to: to, conn: c, writeResult: make(chan error, 1)}
 	if err := c.SetDeadline(q.deadline); err != nil {
 		e.pool.Discard(c)
@@ -100,7 +103,6 @@
 	}
 	x.stopCancel = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) }) // Aborts pending reads and writes.
 	q.sentTo, q.sentAt = append(q.sentTo, to.Address), time.Now()
-	e.countLimitedSend(q, quota.KeyOf(to))
 	x.write(e.encodeHead(q, to, lastEventID), q.body)
 	if err := x.readHead(q); err != nil {
 		x.abort()
--- a/direct/forward.go
+++ b/direct/forward.go
@@ -13,6 +13,7 @@
 
 	"cactustide/fleet"
 	"cactustide/place"
+	"cactustide/quota"
 )
 
 // maxUnreached is the number of upstreams that could not be reached after which a
@@ -43,6 +44,10 @@
 	upstreamsFull bool
 	// waited is the time spent waiting for a paused upstream.
 	waited time.Duration
+	// passed are the processes of limited upstreams that the last choice passed over, and
+	// turnAt is when one of them is likely to take a request; zero if none was passed over.
+	passed []quota.Key
+	turnAt time.Time
 	// resumesAt is when the first paused upstream takes requests again; zero if none is
 	// paused.
 	resumesAt time.Time
@@ -61,6 +66,7 @@
 		return
 	}
 	state := &forwardState{lastEventID: q.info.LastEventID}
+	defer e.returnTurn(q)
 	for {
 		now := time.Now()
 		if ctx.Err() != nil {
@@ -72,7 +78,7 @@
 			return
 		}
 		choice, ok := e.choose(now, q, state)
-		if !ok && e.waitForResume(ctx, now, q, state) {
+		if !ok && (e.waitForTurn(ctx, now, q, state) || e.waitForResume(ctx, now, q, state)) {
 			continue
 		}
 		if !ok {
@@ -129,19 +135,37 @@
 	return choice, true
 }
 
-// candidates returns the upstreams to compare for a request, without those that were tried:
-// all of a service, or a sample of a large one.
+// candidates returns the upstreams to compare for a request, without those that were tried and
+// those that name a rate and for which there is no turn: all of a service, or a sample of a
+// large one.
 func (e *Entry) candidates(now time.Time, q *request, state *forwardState) (list []fleet.Candidate, sampled bool) {
-	tried := func(c fleet.Candidate) bool { return slices.Contains(state.tried, c.ID) }
+	list, sampled = e.untried(now, q, state)
+	if list, state.passed = e.quota.Admit(now, list, q.turn); sampled && len(list) == 0 {
+		list, state.passed = e.quota.Admit(now, e.allUntried(now, q, state), q.turn)
+		sampled = false
+	}
+	e.askForTurns(now, q.service.Name, state.passed)
+	return list, sampled
+}
+
+// untried returns the upstreams that were not tried: all of a service, or a sample of a large
+// one.
+func (e *Entry) untried(now time.Time, q *request, state *forwardState) (list []fleet.Candidate, sampled bool) {
 	if ring := e.fleet.Ring(q.service.Name); len(ring) > place.MaxScanned {
 		ids := e.balancer.Sample(ring, &q.placement, rand.IntN)
-		if list = slices.DeleteFunc(e.fleet.Pick(now, ids), tried); len(list) > 0 {
+		if list = slices.DeleteFunc(e.fleet.Pick(now, ids), state.isTried); len(list) > 0 {
 			return list, true
 		}
 	}
-	return slices.DeleteFunc(e.fleet.Candidates(now, q.service.Name), tried), false
+	return e.allUntried(now, q, state), false
+}
+
+func (e *Entry) allUntried(now time.Time, q *request, state *forwardState) []fleet.Candidate {
+	return slices.DeleteFunc(e.fleet.Candidates(now, q.service.Name), state.isTried)
 }
 
+func (s *forwardState) isTried(c fleet.Candidate) bool { return slices.Contains(s.tried, c.ID) }
+
 // tryUpstream sends the request to one upstream and reports whether the request is
 // finished.
 func (e *Entry) tryUpstream(ctx context.Context, w http.ResponseWriter, q *request, state *forwardState, choice place.Choice) bool {
@@ -276,6 +300,9 @@
 	}
 	if f.withdrawn != fleet.WithdrawalNone {
 		logger.Infof("upstream withdrawn before the request was sent")
+		if f.withdrawn == fleet.WithdrawalLimited {
+			state.tried = slices.DeleteFunc(state.tried, func(id string) bool { return id == to.ID }) // It may have a turn later.
+		}
 		return false
 	}
 	if f.unreachable {
@@ -324,6 +351,11 @@
 	if state.executed > 0 && status == http.StatusServiceUnavailable {
 		status = http.StatusBadGateway // It may have been executed; 503 would state that it was not.
 	}
+	if !state.turnAt.IsZero() && reason == reasonNoUpstream && (state.resumesAt.IsZero() || state.turnAt.Before(state.resumesAt)) {
+		e.scope.Counter("limited_refusals").Inc(1)
+		e.respond(w, q, status, reasonLimited, q.boundRetryAfter(spread(time.Until(state.turnAt))))
+		return
+	}
 	if !state.resumesAt.IsZero() && reason == reasonNoUpstream {
 		e.respond(w, q, status, reasonPaused, q.boundRetryAfter(time.Until(state.resumesAt)))
 		return
--- a/direct/handle.go
+++ b/direct/handle.go
@@ -9,6 +9,7 @@
 
 	"cactustide/meter"
 	"cactustide/place"
+	"cactustide/quota"
 	"cactustide/rules"
 )
 
@@ -34,6 +35,8 @@
 	placement   place.Request
 	log         *meter.Logger
 	fingerprint uint64
+	// turn is the process of a limited upstream whose turn the request has; zero without one.
+	turn quota.Key
 	// sends counts the sends that reached an upstream.
 	sends int
 	// sentTo are the addresses of upstreams to which the request was sent, sentAt is when it
@@ -63,6 +66,7 @@
 	reasonNoUpstream     = "no upstream"
 	reasonUpstreamsFull  = "upstreams are full"
 	reasonPaused         = "upstreams want no requests now"
+	reasonLimited        = "upstreams limit their rate"
 	reasonShed           = "no room in time"
 	reasonAborted        = "the upstream broke off"
 	reasonTimeout        = "time is up"
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -125,6 +125,13 @@
 	}
 	e.mergeEvidence(now, msg.GetCrashes(), msg.GetSound())
 	e.mergeDepartures(now, msg.GetLeaving())
+	e.mergeLimits(now, msg.GetLimits(), spread)
+	for _, a := range msg.GetAsks() {
+		e.handleTurnAsk(now, msg.GetAddress(), a)
+	}
+	for _, a := range msg.GetAnswers() {
+		e.handleTurnAnswer(now, a)
+	}
 }
 
 // compareRevision records whether a peer is ahead of this entry for a prefix. If it is not,
@@ -328,6 +335,7 @@
 		}
 		e.mergeEvidence(time.Now(), reply.GetCrashes(), nil)
 		e.mergeDepartures(time.Now(), reply.GetLeaving())
+		e.mergeLimits(time.Now(), reply.GetLimits(), false)
 		e.gossiper.Members().Merge(time.Now(), relay.DecodeMembers(reply.GetMembers()))
 		n := 0
 		for _, c := range reply.GetCaches() {
@@ -353,6 +361,9 @@
 	for _, d := range e.fleet.Departures() {
 		reply.Leaving = append(reply.Leaving, encodeDeparture(now, d))
 	}
+	for _, l := range e.quota.Limits() {
+		reply.Limits = append(reply.Limits, encodeLimit(now, l))
+	}
 	for id, state := range e.balancer.CacheStates(now) {
 		c := &wire.Cache{Upstream: xxhash.Sum64String(id), Backlog: uint32(state.Backlog.Milliseconds())}
 		for _, seg := range state.Segments {
--- a/direct/rate.go
+++ b/direct/rate.go
@@ -1,11 +1,25 @@
 package direct
 
 import (
+	"context"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
 
+	"cactustide/fleet"
 	"cactustide/quota"
+	"cactustide/wire"
+)
+
+const (
+	// seedTime is how long after its start an entry counts the seeds as entries that may hand
+	// out turns, also those of which it has heard nothing.
+	seedTime = time.Minute
+	// recheckTime is the shortest time after which a waiting request asks for a turn again.
+	recheckTime = 5 * time.Millisecond
+	// endedLimitTime is how long the end of a limit is told to others in turn.
+	endedLimitTime = time.Minute
 )
 
 // recordRate records the rate that the upstream names in its response, or that it names none.
@@ -20,8 +34,10 @@
 	if x.info.ID != q.info.ID || x.resp.StatusCode == http.StatusMisdirectedRequest {
 		return
 	}
-	if limit, changed := e.quota.Observe(time.Now(), q.sentAt, quota.KeyOf(x.to), x.info.Rate, x.info.NamesRate); changed {
+	now := time.Now()
+	if limit, changed := e.quota.Observe(now, q.sentAt, quota.KeyOf(x.to), x.info.Rate, x.info.NamesRate); changed {
 		e.logRate(q.info.ID, limit)
+		e.gossiper.BroadcastLimit(encodeLimit(now, limit))
 	}
 }
 
@@ -38,19 +54,232 @@
 		e.scope.Tagged(tags).Counter("rates_ended").Inc(1)
 		return
 	}
-	logger.With("rate", strconv.FormatFloat(l.Rate, 'g', 6, 64)).Infof("upstream names the rate of requests that it takes")
+	logger.With("rate", formatRate(l.Rate)).Infof("upstream names the rate of requests that it takes")
 	e.scope.Tagged(tags).Counter("rates_named").Inc(1)
 }
 
-// countLimitedSend counts a request that is sent to an upstream that names a rate.
-func (e *Entry) countLimitedSend(q *request, key quota.Key) {
-	limit, ok := e.quota.Find(key)
-	if !ok || limit.Rate == 0 {
+func formatRate(rate float64) string { return strconv.FormatFloat(rate, 'g', 6, 64) }
+
+// takeTurn uses a turn for a request that is about to be sent, if the upstream names a rate,
+// and reports whether it may be sent.
+func (e *Entry) takeTurn(now time.Time, q *request, to fleet.Upstream) bool {
+	key := quota.KeyOf(to)
+	if !e.quota.Take(now, key, q.turn) {
+		return false
+	}
+	if q.turn == key {
+		q.turn = quota.Key{}
+	}
+	if limit, ok := e.quota.Find(key); ok && limit.Rate > 0 {
+		e.scope.Tagged(map[string]string{"upstream": key.Upstream}).Counter("limited_sends").Inc(1)
+		q.log.With("request", q.info.ID).With("upstream", key.Upstream).With("rate", formatRate(limit.Rate)).
+			With("source", string(limit.Source)).With("age", now.Sub(limit.At).Milliseconds()).Infof("sent to an upstream that names a rate")
+	}
+	return true
+}
+
+// returnTurn gives back the turn of a request that has not used it.
+func (e *Entry) returnTurn(q *request) {
+	if q.turn != (quota.Key{}) {
+		e.quota.GiveBack(time.Now(), q.turn)
+		q.turn = quota.Key{}
+	}
+}
+
+// quotaFleet returns what the entry knows of the entries.
+func (e *Entry) quotaFleet(now time.Time) quota.Fleet {
+	members := e.gossiper.Members()
+	known := members.Known(now)
+	if now.Sub(e.createdAt) < seedTime {
+		known = max(known, len(e.settings.Load().Seeds)+1)
+	}
+	return quota.Fleet{
+		Self: e.settings.Load().Peer, Version: members.Version(), Count: members.Count(now), Known: known, StartedAt: e.createdAt,
+		Alive: func() []string {
+			var list []string
+			for _, m := range members.Alive(now) {
+				list = append(list, m.Address)
+			}
+			return list
+		},
+	}
+}
+
+// askForTurns asks for turns at the processes that were passed over.
+func (e *Entry) askForTurns(now time.Time, service string, passed []quota.Key) {
+	asks := e.quota.Asks(now, e.settings.Load().Peer, service, passed)
+	if len(asks) == 0 {
 		return
 	}
-	e.scope.Tagged(map[string]string{"upstream": key.Upstream}).Counter("limited_sends").Inc(1)
-	q.log.With("request", q.info.ID).With("upstream", key.Upstream).With("rate", strconv.FormatFloat(limit.Rate, 'g', 6, 64)).
-		With("source", string(limit.Source)).With("age", time.Since(limit.At).Milliseconds()).Infof("sent to an upstream that names a rate")
+	known := e.quotaFleet(now)
+	for _, ask := range asks {
+		owner := e.quota.OwnerOf(now, ask.Limit.Key, known)
+		if owner == known.Self {
+			e.useAnswer(now, e.quota.Deal(now, ask, known))
+			continue
+		}
+		e.gossiper.SendAsk(owner, &wire.TurnAsk{Limit: encodeLimit(now, ask.Limit), Count: uint32(ask.Count), Number: ask.Number, Within: uint32(ask.Within.Milliseconds())})
+	}
+}
+
+// handleTurnAsk answers a peer's request for turns.
+func (e *Entry) handleTurnAsk(now time.Time, address string, a *wire.TurnAsk) {
+	limit, ok := decodeLimit(a.GetLimit())
+	if !ok || address == "" {
+		return
+	}
+	answer := e.quota.Deal(now, quota.Ask{From: address, Limit: limit, Count: int(a.GetCount()), Number: a.GetNumber(), Within: time.Duration(a.GetWithin()) * time.Millisecond}, e.quotaFleet(now))
+	e.scope.Counter("turn_asks").Inc(1)
+	e.gossiper.SendAnswer(address, &wire.TurnAnswer{
+		Limit: encodeLimit(now, answer.Limit), Number: answer.Number, Count: uint32(answer.Count),
+		First: uint32(answer.First.Milliseconds()), Last: uint32(answer.Last.Milliseconds()), Retry: uint32(answer.Retry.Milliseconds()),
+	})
+}
+
+// handleTurnAnswer uses the turns that a peer has granted.
+func (e *Entry) handleTurnAnswer(now time.Time, a *wire.TurnAnswer) {
+	limit, ok := decodeLimit(a.GetLimit())
+	if !ok {
+		return
+	}
+	e.mergeLimit(now, limit, false)
+	e.useAnswer(now, quota.Answer{
+		Limit: limit, Number: a.GetNumber(), Count: int(a.GetCount()),
+		First: time.Duration(a.GetFirst()) * time.Millisecond, Last: time.Duration(a.GetLast()) * time.Millisecond,
+		Retry: time.Duration(a.GetRetry()) * time.Millisecond,
+	})
+}
+
+// useAnswer records an answer. When its turns begin, requests that wait get them.
+func (e *Entry) useAnswer(now time.Time, a quota.Answer) {
+	e.serveLater(now, a.Limit.Key, e.quota.HandleAnswer(now, a))
+}
+
+// serveLater hands turns to the requests that wait when the next turn begins, and when each
+// one after it does.
+func (e *Entry) serveLater(now time.Time, key quota.Key, next time.Time) {
+	if next.IsZero() {
+		return
+	}
+	time.AfterFunc(next.Sub(now), func() {
+		now := time.Now()
+		e.serveLater(now, key, e.quota.ServeWaiters(now, key))
+	})
+}
+
+// waitForTurn waits for a turn at one of the upstreams that were passed over, if it comes
+// soon, and reports whether the request should choose again.
+func (e *Entry) waitForTurn(ctx context.Context, now time.Time, q *request, state *forwardState) bool {
+	state.turnAt = time.Time{}
+	if len(state.passed) == 0 || state.unreached >= maxUnreached {
+		return false
+	}
+	limit := time.Duration(pauseWaitFraction*float64(q.route.LatencyTarget)) - state.waited
+	begin, end := now, now.Add(limit)
+	if end.After(q.deadline) {
+		end = q.deadline
+	}
+	waiter := e.quota.Wait(now, q.service.Name, q.owner.Team, q.tier, state.passed, max(0, end.Sub(now)))
+	if waiter == nil {
+		state.turnAt = end
+		return false
+	}
+	defer func() { e.quota.Leave(time.Now(), waiter) }()
+	e.scope.Counter("limited_waits").Inc(1)
+	q.log.With("request", q.info.ID).With("limited", len(state.passed)).With("most", limit.Milliseconds()).Infof("waiting for a turn at an upstream that names a rate")
+	for {
+		e.askForTurns(now, q.service.Name, state.passed)
+		next := end
+		if at, known := e.quota.NextTurn(now, state.passed); known {
+			state.turnAt = at
+			next = at
+		}
+		if !now.Before(end) || next.After(end) {
+			if state.turnAt.Before(now) {
+				state.turnAt = now
+			}
+			return false
+		}
+		select {
+		case <-ctx.Done():
+			return true
+		case q.turn = <-waiter.Turn:
+			state.waited += time.Since(begin)
+			if state.executed == 0 {
+				state.tried = nil // Those tried refused the request or were not reached.
+			}
+			return true
+		case <-waiter.News:
+		case <-time.After(max(recheckTime, next.Sub(now))):
+		}
+		now = time.Now()
+	}
+}
+
+// spread lengthens a time by up to a half, so that callers do not return together.
+func spread(d time.Duration) time.Duration {
+	return time.Duration((1 + rand.Float64()/2) * float64(max(0, d)))
+}
+
+func encodeLimit(now time.Time, l quota.Limit) *wire.Limit {
+	return &wire.Limit{Upstream: l.Upstream, Born: l.StartedAt, Rate: l.Rate, Version: l.Version, Ago: max(0, now.Sub(l.At).Milliseconds())}
+}
+
+// decodeLimit returns the limit in a message, or false if it is none.
+func decodeLimit(l *wire.Limit) (quota.Limit, bool) {
+	limit := quota.Limit{Key: quota.Key{Upstream: l.GetUpstream(), StartedAt: l.GetBorn()}, Rate: l.GetRate(), Version: l.GetVersion(), Source: fleet.SourcePeer}
+	return limit, limit.Upstream != "" && limit.Version > 0 && limit.Rate >= 0
+}
+
+// mergeLimits merges what a peer knows of limits.
+func (e *Entry) mergeLimits(now time.Time, list []*wire.Limit, spread bool) {
+	for _, l := range list {
+		if limit, ok := decodeLimit(l); ok {
+			e.mergeLimit(now, limit, spread)
+		}
+	}
+}
+
+// mergeLimit merges what a peer knows of a limit. What is new is logged and, where not all
+// entries hear each other, passed on.
+func (e *Entry) mergeLimit(now time.Time, limit quota.Limit, spread bool) {
+	if !e.quota.Merge(now, limit) {
+		return
+	}
+	merged, _ := e.quota.Find(limit.Key)
+	e.logRate("", merged)
+	if spread {
+		e.gossiper.BroadcastLimit(encodeLimit(now, merged))
+	}
+}
+
+// limitsInTurn returns up to n limits for a message to peers, in turn.
+func (e *Entry) limitsInTurn(now time.Time, n int) []*wire.Limit {
+	list := e.quota.Limits()
+	var chosen []*wire.Limit
+	for range len(list) {
+		if len(chosen) >= n {
+			break
+		}
+		e.limitCursor = (e.limitCursor + 1) % len(list)
+		if l := list[e.limitCursor]; l.Rate > 0 || now.Sub(l.At) < endedLimitTime {
+			chosen = append(chosen, encodeLimit(now, l))
+		}
+	}
+	return chosen
+}
+
+// rateStatus returns the use of the rate that a process names; nil if it never named one.
+func (e *Entry) rateStatus(now time.Time, key quota.Key) *wire.RateStatus {
+	use, ok := e.quota.Use(now, key)
+	if !ok {
+		return nil
+	}
+	return &wire.RateStatus{
+		Rate: use.Rate, Source: string(use.Source), Age: now.Sub(use.At).Seconds(), Version: use.Version,
+		Owner: e.quota.OwnerOf(now, key, e.quotaFleet(now)), Turns: uint32(use.Turns), Sent: use.Sent, Granted: use.Granted,
+		Passed: use.PassedOver, Dealt: use.Dealt,
+	}
 }
 
 // isCurrent reports whether a process is the registered one of its upstream.
--- a/direct/rate_test.go
+++ b/direct/rate_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -103,3 +105,101 @@
 		})
 	}
 }
+
+// TestLimitedAlone guards against requests that hang or are refused without need where the only
+// upstream names a rate: each is served or gets a 503 with Retry-After and has not reached the
+// upstream, and all are served again within 3 s after the limit has ended.
+func TestLimitedAlone(t *testing.T) {
+	const rate = 4
+	s := newStack(t, 3)
+	s.store.Delete("servers/u-1")
+	only := s.replicas[0]
+	waitFor(t, "one upstream", func() bool { return len(s.status(s.entries[2]).GetUpstreams()) == 1 })
+	only.SetRate(strconv.Itoa(rate))
+	load := startLoad(s, []int{0, 1, 2}, 10, "/book/a")
+	defer func() {
+		select {
+		case <-load.stop:
+		default:
+			load.close()
+		}
+	}()
+	time.Sleep(2 * time.Second)
+	begin := time.Now()
+	before := len(only.Arrivals())
+	time.Sleep(5 * time.Second)
+	used := float64(len(only.Arrivals())-before) / rate / time.Since(begin).Seconds()
+	if used < 0.6 || used > 1.1 {
+		t.Errorf("got %.2f of the rate used, want 0.6 to 1", used)
+	}
+	refused := s.send(context.Background(), s.entries[0], callerRequest{path: "/book/a", key: testKey, body: "x"})
+	for range 50 {
+		if refused.status == http.StatusServiceUnavailable {
+			break
+		}
+		refused = s.send(context.Background(), s.entries[0], callerRequest{path: "/book/a", key: testKey, body: "x"})
+	}
+	if after, err := strconv.ParseFloat(refused.header.Get("Retry-After"), 64); refused.status != http.StatusServiceUnavailable || err != nil || after > 1.3 {
+		t.Errorf("got status %d with Retry-After %q beyond the rate, want 503 and a time until the next turn", refused.status, refused.header.Get("Retry-After"))
+	}
+	for _, a := range only.Arrivals() {
+		if a.ID == refused.id {
+			t.Error("got the refused request at the upstream, want it nowhere")
+		}
+	}
+	only.SetRate("")
+	waitFor(t, "the end is known to all", func() bool {
+		for _, e := range s.entries {
+			if s.status(e).GetUpstreams()[0].GetRate().GetRate() != 0 {
+				return false
+			}
+		}
+		return true
+	})
+	for i := range s.entries {
+		for range 5 {
+			if got := s.send(context.Background(), s.entries[i], callerRequest{path: "/book/a", key: testKey, body: "x"}); got.status != http.StatusOK {
+				t.Errorf("got status %d after the end of the limit, want 200", got.status)
+			}
+		}
+	}
+	load.close()
+	for status := range load.statuses {
+		if status != http.StatusOK && status != http.StatusServiceUnavailable {
+			t.Errorf("got status %d, want 200 or 503", status)
+		}
+	}
+}
+
+// TestRateTexts: each text in the header has one meaning, and one that is no rate changes
+// nothing.
+func TestRateTexts(t *testing.T) {
+	tests := map[string]struct {
+		text string
+		// want is the rate that is kept; 0 for none.
+		want float64
+	}{
+		"number": {"2.5", 2.5}, "zero": {"0", 0.1}, "tiny": {"1e-9", 0.1}, "huge": {"1e12", 0}, "NaN": {"NaN", 0},
+		"negative": {"-4", 0}, "text": {"few", 0}, "two fields": {"3\r\nServer-Limit: 4", 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newStack(t, 1)
+			u := newScriptedUpstream(t, func(c net.Conn, q *http.Request) bool {
+				_, err := io.WriteString(c, withHeader(rawBody(requestID(q)), "Server-Limit: "+test.text+"\r\n"))
+				return err == nil
+			})
+			s.replaceUpstreams("a-limited", u.listener.Addr().String())
+			if got := s.send(context.Background(), s.entries[0], callerRequest{path: "/book/a", key: testKey, body: "x"}); got.status != http.StatusOK {
+				t.Fatalf("got status %d, want 200", got.status)
+			}
+			if got := s.status(s.entries[0]).GetUpstreams()[0].GetRate().GetRate(); got != test.want {
+				t.Errorf("got rate %v, want %v", got, test.want)
+			}
+			// A new process under the same id starts without a limit.
+			s.put("a-limited", u.listener.Addr().String(), 1, 2)
+			waitFor(t, "the new process", func() bool { return s.status(s.entries[0]).GetUpstreams()[0].GetRate() == nil })
+		})
+	}
+}
--- a/fleet/belief.go
+++ b/fleet/belief.go
@@ -158,6 +158,8 @@
 	WithdrawalLeaving  Withdrawal = "leaving"
 	WithdrawalPaused   Withdrawal = "paused"
 	WithdrawalDraining Withdrawal = "draining"
+	// WithdrawalLimited: there is no turn for the rate that the upstream names.
+	WithdrawalLimited Withdrawal = "limited"
 )
 
 // Withdrawn reports whether a chosen upstream has been withdrawn since. It is asked when
--- a/member/alive.go
+++ b/member/alive.go
@@ -118,15 +118,29 @@
 	if age := now.Sub(t.countedAt); t.count > 0 && age >= 0 && age < countInterval {
 		return t.count
 	}
-	t.count, t.countedAt = 1, now
+	t.count, t.known, t.countedAt = 1, 1, now
 	for _, m := range t.members {
-		if t.isAlive(now, m) {
+		switch {
+		case t.isAlive(now, m):
 			t.count++
+			t.known++
+		case m.Down && m.Process != 0 && now.Sub(m.downAt) < forgetAfter:
+			t.known++
 		}
 	}
 	return t.count
 }
 
+// Known returns the number of members that are alive or went down within forgetAfter, and of
+// this entry: a part of a fleet that was cut in two cannot tell the other part from one that
+// has ended.
+func (t *Table) Known(now time.Time) int {
+	t.Count(now)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return max(t.count, t.known)
+}
+
 // Find returns the address and data centre of a process, or false if it is not known.
 func (t *Table) Find(process uint64) (Record, bool) {
 	t.mu.Lock()
--- a/member/member.go
+++ b/member/member.go
@@ -96,8 +96,10 @@
 	version uint64
 	// markedVersion is the version for which neighbourSince was set.
 	markedVersion uint64
-	// count is the number of entries alive at countedAt.
+	// count is the number of entries alive at countedAt, known that of those alive or down for
+	// less than forgetAfter.
 	count     int
+	known     int
 	countedAt time.Time
 }
 
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -1,9 +1,13 @@
-// Package quota keeps the request rates that upstreams name while they are in need, which all
-// entries together must not exceed. It does no I/O and takes the time as an argument.
+// Package quota keeps the request rates that upstreams name while they are in need, and divides
+// them among the entries, which must not exceed them together. For each limited upstream one
+// entry, found by rendezvous hashing, hands out turns: a turn is one request. An entry sends a
+// limited upstream nothing without a turn. The package does no I/O and takes the time as an
+// argument.
 package quota
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -62,18 +66,31 @@
 // record is the state of one process that names a limit or has named one.
 type record struct {
 	Limit
+	purse
+	dealer
 }
 
-// Ledger holds the limits of all upstreams that an entry knows of.
+// Ledger holds the limits of all upstreams that an entry knows of, the turns that it has, and
+// the turns that it hands out to others.
 type Ledger struct {
+	// Random returns a number from 0 to 1; it spreads the times of repeated calls.
+	Random func() float64
+
 	mu      sync.Mutex
 	records map[Key]*record
 	// size is the number of records, so that the usual case without any takes no lock.
 	size atomic.Int64
+	// waiters holds the requests that wait for a turn, by service, and lastTurns when a team
+	// last got one.
+	waiters   map[string][]*Waiter
+	lastTurns map[string]time.Time
+	given     int
 }
 
 // NewLedger returns a ledger without limits.
-func NewLedger() *Ledger { return &Ledger{records: map[Key]*record{}} }
+func NewLedger() *Ledger {
+	return &Ledger{Random: rand.Float64, records: map[Key]*record{}, waiters: map[string][]*Waiter{}, lastTurns: map[string]time.Time{}}
+}
 
 // normalize returns the rate that is kept for one that a process names.
 func normalize(rate float64) float64 {
@@ -109,7 +126,7 @@
 		return r.Limit, false
 	}
 	next.Version = r.Version + 1
-	l.change(now, r, next)
+	l.change(r, next)
 	return next, true
 }
 
@@ -130,12 +147,23 @@
 		return false
 	}
 	changed := r.Rate != next.Rate
-	l.change(now, r, next)
+	l.change(r, next)
 	return changed
 }
 
-func (l *Ledger) change(_ time.Time, r *record, next Limit) {
+// change replaces a limit. Turns of a higher rate lose their validity, and requests that wait
+// for a turn of a limit that has ended need none.
+func (l *Ledger) change(r *record, next Limit) {
+	if next.Rate == r.Rate {
+		next.At = r.At
+	} else if next.Rate < r.Rate {
+		r.turns = nil
+	}
+	ended := next.Rate == 0 && r.Rate > 0
 	r.Limit = next
+	if ended {
+		l.releaseWaiters(r.service)
+	}
 }
 
 func (l *Ledger) add(next Limit) {
--- a/relay/event.go
+++ b/relay/event.go
@@ -36,6 +36,26 @@
 	g.broadcast(24+len(d.GetUpstream()), func(msg *wire.Gossip) { msg.Leaving = append(msg.Leaving, d) })
 }
 
+// BroadcastLimit announces the rate that an upstream names.
+func (g *Gossiper) BroadcastLimit(l *wire.Limit) {
+	g.broadcast(40+len(l.GetUpstream()), func(msg *wire.Gossip) { msg.Limits = append(msg.Limits, l) })
+}
+
+// SendAsk sends a request for turns to one entry, at once. The answer goes to the address in
+// the message.
+func (g *Gossiper) SendAsk(address string, ask *wire.TurnAsk) {
+	msg := g.message(false)
+	msg.Address, msg.Asks = g.address, []*wire.TurnAsk{ask}
+	g.sendTo(msg, address)
+}
+
+// SendAnswer sends the answer to a request for turns, at once.
+func (g *Gossiper) SendAnswer(address string, answer *wire.TurnAnswer) {
+	msg := g.message(false)
+	msg.Answers = []*wire.TurnAnswer{answer}
+	g.sendTo(msg, address)
+}
+
 // BroadcastOutcome announces how a request ended at an upstream.
 func (g *Gossiper) BroadcastOutcome(upstream uint64, failed bool) {
 	g.mu.Lock()
--- a/relay/gossip.go
+++ b/relay/gossip.go
@@ -38,6 +38,8 @@
 	welcomeRecords = 20
 	// One of fullShare neighbours, in turn, gets each full message.
 	fullShare = 3
+	// fullLimits is the number of limits of upstreams in a full message, in turn.
+	fullLimits = 4
 	// listedPeers is the number of addresses for older processes.
 	listedPeers = 6
 	// A member that is suspected is probed by the entry and by helpers others. At most
@@ -64,6 +66,8 @@
 	Snapshot func(prefix int, after uint64) *wire.SnapshotReply
 	// CacheState returns this entry's estimate of the engines' caches and backlogs.
 	CacheState func(now time.Time) *wire.CacheStateReply
+	// Limits returns up to n of the rates that upstreams name, in turn.
+	Limits func(now time.Time, n int) []*wire.Limit
 	// OnPeerUp is called when a peer is first seen, has restarted, or sends again
 	// after it was silent.
 	OnPeerUp func(now time.Time, address string)
@@ -106,6 +110,7 @@
 	g := &Gossiper{
 		name: name, address: address, centre: centre, process: process, log: log,
 		members: member.New(member.Record{Address: address, Centre: centre, Process: process, Beat: uint64(max(0, now.UnixMilli()))}),
+		Limits:  func(time.Time, int) []*wire.Limit { return nil },
 		last:    map[string]lastMessage{}, flush: make(chan struct{}, 1), done: make(chan struct{}),
 	}
 	g.members.AddSeeds(now, seeds)
@@ -227,6 +232,7 @@
 	msg := &wire.Gossip{
 		Process: g.process, Sequence: g.sequence, Sent: g.pending.Sent, Ended: g.pending.Ended, Doubts: g.pending.Doubts,
 		Outcomes: g.pending.Outcomes, Crashes: g.pending.Crashes, Sound: g.pending.Sound, Leaving: g.pending.Leaving,
+		Limits: g.pending.Limits,
 	}
 	g.pending, g.pendingBytes = wire.Gossip{}, 0
 	return msg
@@ -234,13 +240,14 @@
 
 func hasEvents(msg *wire.Gossip) bool {
 	return len(msg.GetSent())+len(msg.GetEnded())+len(msg.GetDoubts())+
-		len(msg.GetOutcomes())+len(msg.GetCrashes())+len(msg.GetSound())+len(msg.GetLeaving()) > 0
+		len(msg.GetOutcomes())+len(msg.GetCrashes())+len(msg.GetSound())+len(msg.GetLeaving())+len(msg.GetLimits()) > 0
 }
 
 // fillFull adds the entry's own state and records of members to a message.
 func (g *Gossiper) fillFull(now time.Time, msg *wire.Gossip) {
 	msg.Beat = g.members.NextBeat().Beat
 	msg.Positions = g.Positions(now)
+	msg.Limits = append(msg.Limits, g.Limits(now, fullLimits)...)
 	g.addRecords(msg, g.members.Records(now, maxRecords, steadyRecords))
 	if g.fullCount%nameEvery == 1 {
 		msg.Name, msg.Address, msg.Centre = g.name, g.address, g.centre
