--- a/direct/admin.go
+++ b/direct/admin.go
@@ -54,7 +54,7 @@
 func (e *Entry) status(now time.Time) *wire.EntryStatus {
 	s := &wire.EntryStatus{
 		Name: e.settings.Load().Name, Ready: e.isReady(), Stopping: e.stopping.Load(),
-		Version: e.rules.Version(), Entries: uint32(e.entryCount()),
+		Version: e.rules.Version(), Entries: uint32(e.AliveEntries()),
 		Dropped: e.droppedLines(), Connections: e.pool.Opened(), Requests: e.active.Load(),
 	}
 	s.Watcher, _ = e.watchRole(now)
--- a/direct/entry.go
+++ b/direct/entry.go
@@ -318,7 +318,7 @@
 		e.log.With("service", s.Name).With("version", t.Document.Version).
 			With("scale", strconv.FormatFloat(estimates.PrefillScale, 'f', 2, 64)).
 			With("base", estimates.FirstTokenOverhead.Milliseconds()).With("step", estimates.DecodeStep.Microseconds()).With("work", estimates.PlainLatency.Milliseconds()).
-			With("budget", int(e.budget.Balance(now, s.Name, e.entryCount()))).With("entries", e.entryCount()).
+			With("budget", int(e.budget.Balance(now, s.Name, e.entryCount()))).With("entries", e.AliveEntries()).
 			With("connections", e.pool.Opened()).With("watcher", watcher).With("lost", e.gossiper.Dropped()).Infof("status")
 	}
 }
--- a/direct/forward.go
+++ b/direct/forward.go
@@ -21,9 +21,10 @@
 const maxUnreached = 4
 
 // entryCount returns the number of entries among which connections and retry budgets
-// are divided. While few peers are alive, as after the start, the seeds count too.
+// are divided. Those that went down lately count: they may be alive beyond a cut, and what they
+// used counts on. While few peers are alive, as after the start, the seeds count too.
 func (e *Entry) entryCount() int {
-	return max(e.gossiper.AliveCount(time.Now()), len(e.settings.Load().Seeds)+1)
+	return max(e.gossiper.Members().Known(time.Now()), len(e.settings.Load().Seeds)+1)
 }
 
 // forwardState is the state of forwarding one request.
