--- a/conn/pool.go
+++ b/conn/pool.go
@@ -66,9 +66,12 @@
 	// readLeft bounds the bytes that are still read if readLimited.
 	readLeft    int
 	readLimited bool
-	address     string
-	idleSince   time.Time
-	expires     time.Time
+	// freeLeft bounds the bytes that are read before reserve is called, if it is not nil.
+	freeLeft  int
+	reserve   func() bool
+	address   string
+	idleSince time.Time
+	expires   time.Time
 }
 
 // Pool keeps idle connections by address. It is safe for concurrent use.
@@ -131,12 +134,19 @@
 // ErrReadLimit is returned by reads beyond the limit that LimitRead set.
 var ErrReadLimit = errs.New("more bytes than allowed")
 
+// ErrReadMemory is returned by reads for which there is no memory.
+var ErrReadMemory = errs.New("no memory for more bytes")
+
 // LimitRead makes reads fail after n more bytes from the network. It keeps a peer that
-// sends without end from filling the memory of a parser without a limit of its own.
-func (c *Conn) LimitRead(n int) { c.readLeft, c.readLimited = n, true }
+// sends without end from filling the memory of a parser without a limit of its own. Before
+// more than free bytes are read, reserve is asked for memory once; reads fail if there is none.
+func (c *Conn) LimitRead(n, free int, reserve func() bool) {
+	c.readLeft, c.readLimited = n, true
+	c.freeLeft, c.reserve = free, reserve
+}
 
 // UnlimitRead removes the limit.
-func (c *Conn) UnlimitRead() { c.readLimited = false }
+func (c *Conn) UnlimitRead() { c.readLimited, c.reserve = false, nil }
 
 // Read reads from the connection, within the limit.
 func (c *Conn) Read(p []byte) (int, error) {
@@ -146,8 +156,15 @@
 	if c.readLeft <= 0 {
 		return 0, ErrReadLimit
 	}
+	if c.freeLeft <= 0 && c.reserve != nil {
+		if !c.reserve() {
+			return 0, ErrReadMemory
+		}
+		c.reserve = nil
+	}
 	n, err := c.Conn.Read(p[:min(len(p), c.readLeft)])
 	c.readLeft -= n
+	c.freeLeft -= n
 	return n, err
 }
 
--- a/direct/endless_test.go
+++ b/direct/endless_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -82,3 +84,78 @@
 	_, err = io.Copy(io.Discard, resp.Body)
 	return callerResponse{status: resp.StatusCode, err: err}
 }
+
+// TestEndlessTogether guards against many responses that grow without end at once and together
+// exceed the memory of an entry: what they keep beyond small responses must be within the part
+// of the memory that is meant for responses, and other requests are answered meanwhile.
+func TestEndlessTogether(t *testing.T) {
+	const (
+		memory   = 96 << 20
+		requests = 150
+		// responses is the part of the memory for responses, freeBytes what each may keep beside.
+		responses = memory * 15 / 100
+		freeBytes = 16 << 10
+	)
+	tests := map[string]struct {
+		begin string
+		// grown is sent after begin and just below the bound of a single one; no more follows.
+		grown int
+	}{
+		"events": {begin: rawStream + rawEvent + "id: 2\ndata: ", grown: 1000 << 10},
+		"heads":  {begin: rawHead + "X-Long: ", grown: 250 << 10},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			small := heapOfUnfinished(t, memory, requests, test.begin, 1)
+			large := heapOfUnfinished(t, memory, requests, test.begin, test.grown)
+			if got, want := large-small, int64(responses+requests*freeBytes); got > want {
+				t.Errorf("got %d MB of live heap more than with small responses, want at most %d MB", got>>20, want>>20)
+			}
+		})
+	}
+}
+
+// heapOfUnfinished returns the growth of the live heap while responses are not finished of which
+// begin and a number of further bytes have arrived. Requests beside them must be answered.
+func heapOfUnfinished(t *testing.T, memory int64, requests int, begin string, grown int) int64 {
+	t.Helper()
+	s := newStackOf(t, stackOptions{entries: 1, memoryBytes: memory})
+	rest := strings.Repeat("x", grown)
+	u := newScriptedUpstream(t, func(c net.Conn, q *http.Request) bool {
+		id := requestID(q)
+		if !strings.HasPrefix(q.URL.Path, "/chat") {
+			_, err := io.WriteString(c, rawBody(id))
+			return err == nil
+		}
+		_, err := io.WriteString(c, strings.ReplaceAll(begin, "ID", id))
+		if err == nil {
+			_, err = io.WriteString(c, rest)
+		}
+		if err == nil {
+			_, _ = io.Copy(io.Discard, c) // Until the entry closes.
+		}
+		return false
+	})
+	s.replaceUpstreams("a-endless", u.listener.Addr().String())
+	before := heapBytes()
+	var group sync.WaitGroup
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	for range requests {
+		group.Go(func() { s.sendDiscarding(ctx, s.entries[0], "/chat/a", true) })
+	}
+	var largest int64
+	for i := range 20 {
+		time.Sleep(50 * time.Millisecond)
+		// While the bytes arrive, buffers that were replaced by larger ones are not live either.
+		if n := heapBytes(); i >= 8 {
+			largest = max(largest, n)
+		}
+		if got := s.send(ctx, s.entries[0], callerRequest{path: "/read/a", key: testKey, body: "x"}); got.status != http.StatusOK {
+			t.Errorf("got status %d for a request beside them, want 200", got.status)
+		}
+	}
+	group.Wait()
+	waitFor(t, "the memory is released", func() bool { used, _ := s.memory(s.entries[0], "responses"); return used == 0 })
+	return largest - before
+}
--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -38,6 +38,11 @@
 	maxHeads = 16
 	// maxResponseHeadBytes bounds the head of a response, bytes; http.ReadResponse does not.
 	maxResponseHeadBytes = 256 << 10
+	// headMemoryBytes is the memory that a large head may take: its bytes and the text of its
+	// fields, which the parser copies.
+	headMemoryBytes = 2 * maxResponseHeadBytes
+	// freeHeadBytes is the part of a head that needs no reserved memory, bytes.
+	freeHeadBytes = 16 << 10
 	// maxBufferedBody is the largest response body that is buffered before it is sent
 	// on, bytes.
 	maxBufferedBody = 256 << 10
@@ -58,8 +63,10 @@
 	info  ResponseInfo
 	// skipped is set when a response to another request was read.
 	skipped bool
-	// buffered is the memory that is reserved for the body of the response.
-	buffered int64
+	// buffered is the memory that is reserved for the body of the response, headReserved that
+	// for a large head.
+	buffered     int64
+	headReserved int64
 	// writeResult receives the result of sending the request.
 	writeResult chan error
 	stopCancel  func() bool
@@ -191,7 +198,7 @@
 // request, which may arrive on a reused connection.
 func (x *exchange) readHead(q *request) error {
 	for range maxHeads {
-		x.conn.LimitRead(maxResponseHeadBytes)
+		x.conn.LimitRead(maxResponseHeadBytes, freeHeadBytes, x.reserveHead)
 		resp, err := http.ReadResponse(x.conn.Reader, &http.Request{Method: q.method})
 		if err != nil {
 			return err
@@ -262,8 +269,27 @@
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
 
+// reserveHead reserves memory for a large head, and reports whether there is enough.
+func (x *exchange) reserveHead() bool {
+	if x.headReserved > 0 {
+		return true
+	}
+	if !x.entry.responseMemory.reserve(headMemoryBytes, headMemoryBytes, headMemoryBytes) {
+		x.entry.scope.Counter("oversized_heads").Inc(1)
+		return false
+	}
+	x.headReserved = headMemoryBytes
+	return true
+}
+
+func (x *exchange) releaseHead() {
+	x.entry.responseMemory.release(x.headReserved)
+	x.headReserved = 0
+}
+
 // finish returns the connection to the pool after the response was read to its end.
 func (x *exchange) finish() {
+	x.releaseHead()
 	stopped := x.stopCancel()
 	select {
 	case err := <-x.writeResult:
@@ -280,6 +306,7 @@
 
 // abort closes the connection, so that the upstream can stop working on the request.
 func (x *exchange) abort() {
+	x.releaseHead()
 	x.stopCancel()
 	x.entry.pool.Discard(x.conn)
 }
--- a/direct/response.go
+++ b/direct/response.go
@@ -82,6 +82,7 @@
 var (
 	errNotEvent   = errs.New("bytes that are no event in a stream")
 	errNotResumed = errs.New("upstream did not go on after the last event")
+	errNoMemory   = errs.New("no memory for a large event")
 )
 
 // eventReader reads the events of a text/event-stream.
@@ -89,17 +90,54 @@
 	reader *bufio.Reader
 	// partial is the event being read.
 	partial []byte
+	// memory is that of all responses; reserved bytes of it are for a large event.
+	memory   *memoryLimiter
+	reserved int64
 }
 
-// maxEventBytes bounds the size of an event, bytes.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes bounds the size of an event, bytes.
+	maxEventBytes = 1 << 20
+	// freeEventBytes is the size up to which an event needs no reserved memory, bytes.
+	freeEventBytes = 16 << 10
+)
+
+// grow makes room for n more bytes, and reports whether there is memory for them.
+func (r *eventReader) grow(n int) bool {
+	need := len(r.partial) + n
+	if need <= freeEventBytes || need <= cap(r.partial) {
+		return true
+	}
+	size := min(max(need, 2*cap(r.partial)), max(need, maxEventBytes))
+	more := int64(size) - r.reserved
+	if !r.memory.reserve(more, more, more) {
+		return false
+	}
+	r.reserved += more
+	larger := make([]byte, len(r.partial), size)
+	copy(larger, r.partial)
+	r.partial = larger
+	return true
+}
+
+// release gives the memory of a large event back.
+func (r *eventReader) release() {
+	if r.reserved > 0 {
+		r.memory.release(r.reserved)
+		r.partial, r.reserved = nil, 0
+	}
+}
 
 // next returns the next complete event, including the empty line that ends it. The
 // result is valid until the next call.
 func (r *eventReader) next() ([]byte, error) {
+	r.release()
 	r.partial = r.partial[:0]
 	for {
 		line, err := r.reader.ReadSlice('\n')
+		if !r.grow(len(line)) {
+			return nil, errNoMemory
+		}
 		r.partial = append(r.partial, line...)
 		if err != nil && err != bufio.ErrBufferFull {
 			return nil, err
@@ -155,7 +193,8 @@
 // forwardStream forwards a stream event by event and reports whether the request is
 // finished.
 func (e *Entry) forwardStream(ctx context.Context, w http.ResponseWriter, q *request, state *forwardState, x *exchange, inFlight *place.InFlightRequest) bool {
-	s := &eventReader{reader: bufio.NewReaderSize(x.resp.Body, 4<<10)}
+	s := &eventReader{reader: bufio.NewReaderSize(x.resp.Body, 4<<10), memory: &e.responseMemory}
+	defer s.release()
 	flush := http.NewResponseController(w)
 	count := 0
 	resumed := state.responseStarted
