--- a/direct/leave.go
+++ b/direct/leave.go
@@ -69,5 +69,5 @@
 	c := e.fleet.Census(now, q.service.Name)
 	q.log.With("request", q.info.ID).With("service", q.service.Name).With("registered", c.Registered).With("draining", c.Draining).
 		With("leaving", c.Leaving).With("paused", c.Paused).With("lapsed", c.Lapsed).With("banned", c.Banned).
-		With("limited", len(state.passed)).With("tried", len(state.tried)).With("unreached", state.unreached).With("executed", state.executed).Infof("no upstream can take the request")
+		With("limited", len(state.passed)).With("without", namesOf(state.passed)).With("tried", len(state.tried)).With("unreached", state.unreached).With("executed", state.executed).Infof("no upstream can take the request")
 }
--- a/direct/rate.go
+++ b/direct/rate.go
@@ -191,12 +191,16 @@
 		e.askForTurns(now, q.service.Name, state.passed)
 		next := end
 		if at, known := e.quota.NextTurn(now, state.passed); known {
+			if !at.After(now) {
+				state.waited += now.Sub(begin)
+				return true // A limit has ended, or a turn is there.
+			}
 			state.turnAt = at
 			next = at
 		}
 		if !now.Before(end) || next.After(end) {
 			if state.turnAt.Before(now) {
-				state.turnAt = now
+				state.turnAt = now.Add(minRetryAfter) // No answer has come.
 			}
 			return false
 		}
@@ -216,6 +220,18 @@
 	}
 }
 
+// maxNames bounds the upstreams that a log line names.
+const maxNames = 4
+
+// namesOf returns the ids of the first few upstreams.
+func namesOf(keys []quota.Key) []string {
+	names := []string{}
+	for _, key := range keys[:min(len(keys), maxNames)] {
+		names = append(names, key.Upstream)
+	}
+	return names
+}
+
 // spread lengthens a time by up to a half, so that callers do not return together.
 func spread(d time.Duration) time.Duration {
 	return time.Duration((1 + rand.Float64()/2) * float64(max(0, d)))
