quota: only the upstream's own word ends a limit (LIMIT)

Now a signed response or a refusal that states that the request was not executed ends a limit; any matched response may name one.

--- a/direct/rate.go
+++ b/direct/rate.go
@@ -34,6 +34,10 @@
 	if x.info.ID != q.info.ID || x.resp.StatusCode == http.StatusMisdirectedRequest {
 		return
 	}
+	// A failure on the way to the upstream does not say that it names no rate.
+	if !x.info.NamesRate && !x.info.Signed && !x.info.NotExecuted {
+		return
+	}
 	now := time.Now()
 	if limit, changed := e.quota.Observe(now, q.sentAt, quota.KeyOf(x.to), x.info.Rate, x.info.NamesRate); changed {
 		e.logRate(q.info.ID, limit)
--- a/direct/rate_test.go
+++ b/direct/rate_test.go
@@ -6,7 +6,9 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -203,3 +205,50 @@
 		})
 	}
 }
+
+// TestLimitOutlivesFaults guards against a limit that ends by a response that is not the
+// upstream's own word: a refusal by another process, or a failure without its signature.
+func TestLimitOutlivesFaults(t *testing.T) {
+	const named = "Server-Limit: 50\r\n"
+	tests := map[string]struct {
+		response func(id string) string
+		ends     bool
+	}{
+		"success": {response: rawBody, ends: true},
+		"refusal": {response: rawRefusal, ends: true},
+		"unsigned failure": {response: func(id string) string {
+			return "HTTP/1.1 500 no\r\nCactustide-Request-Id: " + id + "\r\nContent-Length: 0\r\n\r\n"
+		}},
+		"another process": {response: func(id string) string { return strings.Replace(rawRefusal(id), "503", "421", 1) }},
+		"without an id":   {response: func(string) string { return "HTTP/1.1 502 no\r\nContent-Length: 0\r\n\r\n" }},
+		"no response":     {response: func(string) string { return "\x00\r\n\r\n" }},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newStack(t, 1)
+			var faulty atomic.Bool
+			u := newScriptedUpstream(t, func(c net.Conn, q *http.Request) bool {
+				text := withHeader(rawBody(requestID(q)), named)
+				if faulty.Load() {
+					text = test.response(requestID(q))
+				}
+				_, err := io.WriteString(c, text)
+				return err == nil
+			})
+			s.replaceUpstreams("a-limited", u.listener.Addr().String())
+			request := callerRequest{path: "/book/a", key: testKey, body: "x"}
+			s.send(context.Background(), s.entries[0], request)
+			faulty.Store(true)
+			sent := len(u.received())
+			waitFor(t, "a request with the faulty response", func() bool {
+				s.send(context.Background(), s.entries[0], request)
+				return len(u.received()) > sent
+			})
+			got := s.status(s.entries[0]).GetUpstreams()[0].GetRate().GetRate()
+			if ended := got == 0; ended != test.ends {
+				t.Errorf("got rate %v, want the limit ended: %v", got, test.ends)
+			}
+		})
+	}
+}
