direct, soak: the time of each step of a stop; how long the soak itself was kept waiting

The stop now logs when it begins to refuse and by how much late, what is left of the grace when it has drained, and how long closing took at each step; the soak's 'stop' violation has the longest time for which the soak itself was kept from running.

--- a/direct/entry.go
+++ b/direct/entry.go
@@ -323,8 +323,14 @@
 	}
 }
 
-// Close stops the servers and loops and waits for them.
+// Close stops the servers and loops, waits for them and logs how long each step took.
 func (e *Entry) Close() {
+	logger := e.log
+	begin := time.Now()
+	step := func(name string) {
+		logger = logger.With(name, time.Since(begin).Milliseconds())
+		begin = time.Now()
+	}
 	e.endRequests()
 	_ = e.callerServer.Close() // Closing twice is harmless.
 	_ = e.readyServer.Close()
@@ -332,8 +338,13 @@
 		_ = e.adminServer.Shutdown()
 	}
 	e.servers.Wait()
+	step("servers")
 	e.cancel()
 	_ = e.group.Wait() // The loops return no errors.
+	step("loops")
 	e.gossiper.Close()
+	step("gossip")
 	e.pool.Close()
+	step("pool")
+	logger.Infof("closed")
 }
--- a/direct/stop.go
+++ b/direct/stop.go
@@ -72,7 +72,9 @@
 	e.callerConns.sweep(now, 0, 0)
 	time.Sleep(time.Until(plan.refuseAt))
 	e.refusing.Store(true)
+	e.log.With("late", time.Since(plan.refuseAt).Milliseconds()).With("requests", e.active.Load()).Infof("refusing new requests")
 	e.waitIdle(plan.endAt)
+	e.log.With("left", time.Until(plan.killAt).Milliseconds()).With("requests", e.active.Load()).Infof("drained")
 	if n := e.active.Load(); n > 0 {
 		e.log.With("requests", n).Warnf("drain timed out; ending the requests in progress")
 		e.endRequests()
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -124,6 +124,8 @@
 	_ = p.cmd.Process.Signal(syscall.SIGCONT) // It may have ended already.
 	if graceful {
 		begin := time.Now()
+		stalls := watchStalls()
+		defer stalls.close()
 		_ = p.cmd.Process.Signal(syscall.SIGTERM)
 		select {
 		case <-p.done:
@@ -131,7 +133,7 @@
 		case <-time.After(stopGracePeriod):
 			// A process that is paused cannot stop.
 			if !r.wasEntryPaused(p, begin, time.Now()) {
-				r.reportViolation("stop", "%s still ran %v after SIGTERM", p.name, stopGracePeriod)
+				r.reportViolation("stop", "%s still ran %v after SIGTERM; this process itself was kept waiting for up to %v meanwhile", p.name, stopGracePeriod, stalls.longest())
 			}
 		}
 	}
