place: plain requests weigh how full an upstream is

Callers would see 503 'upstreams are full' with other upstreams idle. Traced in its logs: in the last two seconds u-2 got 1,689 of 2,398 requests and refused 474 as full, u-4 the rest and four others nothing; the forecast of u-2 cost 0.000 and that of u-4 0.001, and the retry budget (6 for all entries) was used up. Cause: the cost of a plain request was the probability of a miss, 0 for all of these, and the failure rate. So a failure of long ago outweighed any number of running requests below the slots. Now the occupied part of the slots and the requests ahead of a full upstream count, as they do for engines. TestPlainOccupancy: 16 of 16 requests went to one upstream of 16 slots beside one with a failure rate of 0.0002; now they are divided.

--- a/place/balancer.go
+++ b/place/balancer.go
@@ -373,7 +373,7 @@
 		f.Cost += rendezvousCost * rendezvousDistance(req.Segments, c.ID)
 	} else {
 		f = s.forecastPlain(now, u, c)
-		f.Cost = missProbability(now.Sub(req.ArrivedAt)+f.TimeToFirst, req.LatencyTarget, firstEventUncertainty*req.LatencyTarget.Seconds())
+		f.Cost += missProbability(now.Sub(req.ArrivedAt)+f.TimeToFirst, req.LatencyTarget, firstEventUncertainty*req.LatencyTarget.Seconds())
 	}
 	if c.Centre != req.Centre {
 		f.Cost += b.settings.TransferCost * float64(req.Bytes) / (1 << 20)
--- a/place/forecast.go
+++ b/place/forecast.go
@@ -43,7 +43,8 @@
 	n := u.requestCount(now)
 	queueRatio := float64(max(0, n+1-c.Slots)) / float64(max(1, c.Slots))
 	first := s.plainLatency + time.Duration(queueRatio*float64(s.plainLatency)) + time.Duration(float64(n)/float64(max(1, c.Slots))*float64(time.Millisecond))
-	return Forecast{TimeToFirst: first, Running: n}
+	cost := occupancyCost*float64(n)/float64(max(1, c.Slots)) + queuedRequestCost*float64(max(0, n+1-c.Slots))
+	return Forecast{TimeToFirst: first, Running: n, Cost: cost}
 }
 
 func (s *serviceModel) forecastEngine(now time.Time, u *upstreamState, c fleet.Candidate, req *Request, settings Settings, aggregate aggregateLoad) Forecast {
@@ -76,7 +77,8 @@
 }
 
 // occupancyCost is the cost of a full engine. It prefers the less occupied of
-// otherwise equal engines, as each further request slows the decode steps of all.
+// otherwise equal upstreams, as each further request slows the decode steps of all at an engine,
+// and a full one refuses requests.
 const occupancyCost = 0.05
 
 // streamTime predicts the duration of a stream. The prefills queued now delay its
