quota: the usual terms: an entry grants turns, another holds them

Renamed after a read of the diff: the state of the one is the granter, that of the other the holder; counters are 'received' and 'granted' in the status. No behaviour changes.

--- a/direct/rate.go
+++ b/direct/rate.go
@@ -119,7 +119,7 @@
 	for _, ask := range asks {
 		owner := e.quota.OwnerOf(now, ask.Limit.Key, known)
 		if owner == known.Self {
-			e.useAnswer(now, e.quota.Deal(now, ask, known))
+			e.useAnswer(now, e.quota.Grant(now, ask, known))
 			continue
 		}
 		e.gossiper.SendAsk(owner, &wire.TurnAsk{Limit: encodeLimit(now, ask.Limit), Count: uint32(ask.Count), Number: ask.Number, Within: uint32(ask.Within.Milliseconds())})
@@ -132,7 +132,7 @@
 	if !ok || address == "" {
 		return
 	}
-	answer := e.quota.Deal(now, quota.Ask{From: address, Limit: limit, Count: int(a.GetCount()), Number: a.GetNumber(), Within: time.Duration(a.GetWithin()) * time.Millisecond}, e.quotaFleet(now))
+	answer := e.quota.Grant(now, quota.Ask{From: address, Limit: limit, Count: int(a.GetCount()), Number: a.GetNumber(), Within: time.Duration(a.GetWithin()) * time.Millisecond}, e.quotaFleet(now))
 	e.scope.Counter("turn_asks").Inc(1)
 	e.gossiper.SendAnswer(address, &wire.TurnAnswer{
 		Limit: encodeLimit(now, answer.Limit), Number: answer.Number, Count: uint32(answer.Count),
@@ -297,8 +297,8 @@
 	}
 	return &wire.RateStatus{
 		Rate: use.Rate, Source: string(use.Source), Age: now.Sub(use.At).Seconds(), Version: use.Version,
-		Owner: e.quota.OwnerOf(now, key, e.quotaFleet(now)), Turns: uint32(use.Turns), Sent: use.Sent, Granted: use.Granted,
-		Passed: use.PassedOver, Dealt: use.Dealt,
+		Owner: e.quota.OwnerOf(now, key, e.quotaFleet(now)), Turns: uint32(use.Turns), Sent: use.Sent, Received: use.Received,
+		Passed: use.PassedOver, Granted: use.Granted,
 	}
 }
 
--- a/emul/rate.go
+++ b/emul/rate.go
@@ -354,12 +354,12 @@
 		s.asks++
 		address := e.ledger.OwnerOf(s.now, ask.Limit.Key, s.fleetOf(e))
 		if address == e.address {
-			s.answer(e, e.ledger.Deal(s.now, ask, s.fleetOf(e)))
+			s.answer(e, e.ledger.Grant(s.now, ask, s.fleetOf(e)))
 			continue
 		}
 		owner := s.entries[slices.IndexFunc(s.entries, func(o *rateEntry) bool { return o.address == address })]
 		s.message(e, owner, messageDelay, func() {
-			a := owner.ledger.Deal(s.now, ask, s.fleetOf(owner))
+			a := owner.ledger.Grant(s.now, ask, s.fleetOf(owner))
 			s.message(owner, e, messageDelay, func() {
 				e.ledger.Merge(s.now, a.Limit)
 				s.answer(e, a)
--- a/quota/deal.go
+++ b/quota/grant.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// dealtFraction is the part of a rate that is handed out; the rest covers turns that are
+	// grantedFraction is the part of a rate that is handed out; the rest covers turns that are
 	// used late.
-	dealtFraction = 0.9
+	grantedFraction = 0.9
 	// burstTime is the time whose turns may be handed out at once.
 	burstTime = 100 * time.Millisecond
 	// horizon is how far ahead turns are handed out.
@@ -47,8 +47,8 @@
 	StartedAt time.Time
 }
 
-// dealer is the state of handing out turns for one upstream.
-type dealer struct {
+// granter is the state of handing out turns for one upstream.
+type granter struct {
 	limiter *rate.Limiter
 	// owner is the address of the entry that hands out turns, by the members of a version.
 	owner   string
@@ -56,7 +56,7 @@
 	// ownedSince is since when this entry is the one; zero if it is not.
 	ownedSince time.Time
 	askers     askerCount
-	dealt      int64
+	granted    int64
 }
 
 // askerCount estimates the number of entries that ask (linear counting, Whang, Vander-Zanden
@@ -128,8 +128,8 @@
 	return r.owner
 }
 
-// Deal answers a request for turns.
-func (l *Ledger) Deal(now time.Time, a Ask, f Fleet) Answer {
+// Grant answers a request for turns.
+func (l *Ledger) Grant(now time.Time, a Ask, f Fleet) Answer {
 	l.Merge(now, a.Limit)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -156,7 +156,7 @@
 		answer.Retry = max(minRetry, min(wait, otherRetry))
 		return answer
 	}
-	r.setRate(now, dealtFraction*r.Rate*min(1, float64(f.Count)/float64(max(1, f.Known))))
+	r.setRate(now, grantedFraction*r.Rate*min(1, float64(f.Count)/float64(max(1, f.Known))))
 	for range min(a.Count, turnsAtOnce(r.Rate)) {
 		reserved := r.limiter.ReserveN(now, 1)
 		delay := reserved.DelayFrom(now)
@@ -171,7 +171,7 @@
 			answer.First = delay
 		}
 		answer.Count, answer.Last = answer.Count+1, delay
-		r.dealt++
+		r.granted++
 	}
 	return answer
 }
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -66,8 +66,8 @@
 // record is the state of one process that names a limit or has named one.
 type record struct {
 	Limit
-	purse
-	dealer
+	holder
+	granter
 }
 
 // Ledger holds the limits of all upstreams that an entry knows of, the turns that it has, and
--- a/quota/turn.go
+++ b/quota/turn.go
@@ -30,8 +30,8 @@
 	from, until time.Time
 }
 
-// purse holds the turns of one entry for one limited upstream.
-type purse struct {
+// holder holds the turns of one entry for one limited upstream.
+type holder struct {
 	service string
 	turns   []turn
 	// askedAt is when turns were last asked for, zero once that was answered; ask is the
@@ -44,9 +44,9 @@
 	alarm time.Time
 	// credit is the part of a request that the ramp admits.
 	credit float64
-	// Sent, Granted and PassedOver count requests sent, turns received, and choices in which
+	// sent, received and passedOver count requests sent, turns received, and choices in which
 	// the upstream was passed over.
-	sent, granted, passedOver int64
+	sent, received, passedOver int64
 }
 
 // hold returns how long a turn may be used.
@@ -58,22 +58,22 @@
 func turnsAtOnce(rate float64) int { return 1 + int(rate*askShare.Seconds()) }
 
 // dropExpired drops the turns that can no longer be used.
-func (p *purse) dropExpired(now time.Time) {
+func (h *holder) dropExpired(now time.Time) {
 	n := 0
-	for _, t := range p.turns {
+	for _, t := range h.turns {
 		if now.Before(t.until) {
-			p.turns[n] = t
+			h.turns[n] = t
 			n++
 		}
 	}
-	p.turns = p.turns[:n]
+	h.turns = h.turns[:n]
 }
 
 // usable returns the number of turns that can be used now.
-func (p *purse) usable(now time.Time) int {
-	p.dropExpired(now)
+func (h *holder) usable(now time.Time) int {
+	h.dropExpired(now)
 	n := 0
-	for _, t := range p.turns {
+	for _, t := range h.turns {
 		if !now.Before(t.from) {
 			n++
 		}
@@ -82,18 +82,18 @@
 }
 
 // pop takes one turn, the one that ends first, and reports whether there was one.
-func (p *purse) pop(now time.Time) bool {
-	p.dropExpired(now)
+func (h *holder) pop(now time.Time) bool {
+	h.dropExpired(now)
 	best := -1
-	for i, t := range p.turns {
-		if !now.Before(t.from) && (best < 0 || t.until.Before(p.turns[best].until)) {
+	for i, t := range h.turns {
+		if !now.Before(t.from) && (best < 0 || t.until.Before(h.turns[best].until)) {
 			best = i
 		}
 	}
 	if best < 0 {
 		return false
 	}
-	p.turns = append(p.turns[:best], p.turns[best+1:]...)
+	h.turns = append(h.turns[:best], h.turns[best+1:]...)
 	return true
 }
 
@@ -244,7 +244,7 @@
 		return time.Time{}
 	}
 	r.retryAt = time.Time{}
-	r.granted += int64(a.Count)
+	r.received += int64(a.Count)
 	count := min(a.Count, turnsAtOnce(r.Rate))
 	for i := range count {
 		from := now.Add(a.First + (a.Last-a.First)*time.Duration(i)/time.Duration(max(1, count-1)))
@@ -257,17 +257,17 @@
 
 // nextAlarm returns when the next turn begins, unless a call at that time or before is
 // expected already; zero if none is to come.
-func (p *purse) nextAlarm(now time.Time) time.Time {
+func (h *holder) nextAlarm(now time.Time) time.Time {
 	var next time.Time
-	for _, t := range p.turns {
+	for _, t := range h.turns {
 		if now.Before(t.from) && (next.IsZero() || t.from.Before(next)) {
 			next = t.from
 		}
 	}
-	if next.IsZero() || now.Before(p.alarm) && !p.alarm.After(next) {
+	if next.IsZero() || now.Before(h.alarm) && !h.alarm.After(next) {
 		return time.Time{}
 	}
-	p.alarm = next
+	h.alarm = next
 	return next
 }
 
@@ -276,11 +276,11 @@
 	Limit
 	// Turns is the number of turns that can be used now or soon.
 	Turns int
-	// Sent counts requests, Granted turns, PassedOver choices without a turn, Dealt turns that
+	// Sent counts requests, Received turns, PassedOver choices without a turn, Granted turns that
 	// this entry handed out.
-	Sent, Granted, PassedOver, Dealt int64
-	// Deals is set if this entry hands out the turns.
-	Deals bool
+	Sent, Received, PassedOver, Granted int64
+	// Grants is set if this entry hands out the turns.
+	Grants bool
 }
 
 // Use returns the use of the limit of a process.
@@ -296,7 +296,7 @@
 	}
 	r.dropExpired(now)
 	return Use{
-		Limit: r.Limit, Turns: len(r.turns), Sent: r.sent, Granted: r.granted, PassedOver: r.passedOver,
-		Dealt: r.dealt, Deals: !r.ownedSince.IsZero(),
+		Limit: r.Limit, Turns: len(r.turns), Sent: r.sent, Received: r.received, PassedOver: r.passedOver,
+		Granted: r.granted, Grants: !r.ownedSince.IsZero(),
 	}, true
 }
--- a/quota/turn_test.go
+++ b/quota/turn_test.go
@@ -158,9 +158,9 @@
 	}
 }
 
-// TestDeal guards against turns handed out by an entry that is not the one to do so, or by more
+// TestGrant guards against turns handed out by an entry that is not the one to do so, or by more
 // than its part of the fleet.
-func TestDeal(t *testing.T) {
+func TestGrant(t *testing.T) {
 	two := func() []string { return []string{"a", "b"} }
 	owner := Owner(two(), testKey)
 	other := map[string]string{"a": "b", "b": "a"}[owner]
@@ -182,7 +182,7 @@
 			limit, _ := l.Find(testKey)
 			n := 0
 			for ms := range 20_000 {
-				n += l.Deal(start.Add(time.Duration(ms)*time.Millisecond), Ask{From: "x", Limit: limit, Count: 3, Within: 100 * time.Millisecond}, test.fleet).Count
+				n += l.Grant(start.Add(time.Duration(ms)*time.Millisecond), Ask{From: "x", Limit: limit, Count: 3, Within: 100 * time.Millisecond}, test.fleet).Count
 			}
 			if got := float64(n); got > test.want+2 || got < test.want-15 {
 				t.Errorf("got %v turns, want about %v", got, test.want)
@@ -200,19 +200,19 @@
 	owner := Owner(members, testKey)
 	f := Fleet{Self: owner, Version: 1, Count: 3, Known: 3, StartedAt: at(-100), Alive: func() []string { return members }}
 	ask := Ask{From: "x", Limit: limit, Count: 1, Within: 100 * time.Millisecond}
-	l.Deal(at(0), ask, f)
-	if got := l.Deal(at(0.9), ask, f); got.Count != 0 || got.Retry <= 0 {
+	l.Grant(at(0), ask, f)
+	if got := l.Grant(at(0.9), ask, f); got.Count != 0 || got.Retry <= 0 {
 		t.Errorf("got %+v 0.9 s after it became the owner, want no turn and a time to ask again", got)
 	}
-	if got := l.Deal(at(1.5), ask, f); got.Count != 1 {
+	if got := l.Grant(at(1.5), ask, f); got.Count != 1 {
 		t.Errorf("got %+v 1.5 s after it became the owner, want a turn", got)
 	}
 	f.Version, f.Alive = 2, func() []string { return []string{"elsewhere"} }
-	if got := l.Deal(at(2), ask, f); got.Count != 0 {
+	if got := l.Grant(at(2), ask, f); got.Count != 0 {
 		t.Errorf("got %+v when another entry is the owner, want no turn", got)
 	}
 	f.Version, f.Alive = 3, func() []string { return members }
-	if got := l.Deal(at(3), ask, f); got.Count != 0 {
+	if got := l.Grant(at(3), ask, f); got.Count != 0 {
 		t.Errorf("got %+v right after it became the owner again, want no turn", got)
 	}
 }
