Add review case 10: heads without end fill an entry beyond what is reserved for them

Cause: the memory for a large head is reserved by its bytes; short fields with different names take eight times as much once they are parsed.

--- a/review/probe/replica.go
+++ b/review/probe/replica.go
@@ -27,7 +27,9 @@
 	// answer: after crashAfter events.
 	isDeadly   func(parts []string) bool
 	crashAfter int
-	downtime   time.Duration
+	// isEndless, if set, reports whether the replica answers with a head without end.
+	isEndless func() bool
+	downtime  time.Duration
 
 	mu      sync.Mutex
 	born    int64
@@ -187,6 +189,13 @@
 		r.mu.Unlock()
 	}()
 	r.site.rec.line("run %s at %s", id, r.id)
+	if r.isEndless != nil && r.isEndless() {
+		if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			sendEndlessHead(c)
+			_ = c.Close() // The caller has closed it.
+		}
+		return
+	}
 	h.Set("Cactustide-Response-Signature", r.id+"."+id)
 	if q.Header.Get("Cactustide-Prompt-Prefix") != "" {
 		r.stream(w, q, id)
