--- a/direct/crash.go
+++ b/direct/crash.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -14,8 +15,13 @@
 	"cactustide/wire"
 )
 
-// quarantineRetryAfter is the Retry-After of a request that crashed upstreams.
-const quarantineRetryAfter = 10 * time.Second
+const (
+	// quarantineRetryAfter is the Retry-After of a request that crashed upstreams.
+	quarantineRetryAfter = 10 * time.Second
+	// minLoggedCrashes is the number of crashes from which a part that is not refused is
+	// logged.
+	minLoggedCrashes = 3
+)
 
 // computeFingerprint returns the hash of the method, target, team and body, by
 // which a retry of the request is recognized.
@@ -38,13 +44,15 @@
 // isQuarantined reports whether the request, or requests with a part of its prompt, crash
 // upstreams.
 func (e *Entry) isQuarantined(now time.Time, q *request) bool {
-	if part, ok := e.partEvidence.FindQuarantined(now, q.info.Parts...); ok {
-		q.log.With("request", q.info.ID).With("part", part).Infof("refused; requests with this part of the prompt crash upstreams")
+	if parts, ok := e.partEvidence.FindQuarantined(now, q.info.Parts...); ok {
+		q.log.With("request", q.info.ID).With("part", strings.Join(parts, ",")).Infof("refused; requests with this part of the prompt crash upstreams")
 		return true
 	}
-	subject, ok := e.requestEvidence.FindQuarantined(now, encodeFingerprint(q.computeFingerprint()))
+	subject := encodeFingerprint(q.computeFingerprint())
+	_, ok := e.requestEvidence.FindQuarantined(now, subject)
 	if ok {
-		q.log.With("request", q.info.ID).With("print", subject).With("crashes", e.requestEvidence.Count(subject)).Infof("refused; this request crashes upstreams")
+		crashes, _ := e.requestEvidence.Count(subject)
+		q.log.With("request", q.info.ID).With("print", subject).With("crashes", crashes).Infof("refused; this request crashes upstreams")
 	}
 	return ok
 }
@@ -57,17 +65,19 @@
 		return
 	}
 	var requests, parts []retry.Crash
+	byProcess := map[string][]retry.Abort{}
 	for _, x := range aborted {
 		upstream := to.ID + "@" + strconv.FormatInt(x.StartedAt, 10)
 		requests = append(requests, retry.Crash{Subject: encodeFingerprint(x.Fingerprint), Upstream: upstream, Began: x.Began, At: x.At})
-		for _, part := range x.Parts {
-			parts = append(parts, retry.Crash{Subject: part, Upstream: upstream, Began: x.Began, At: x.At})
-		}
+		byProcess[upstream] = append(byProcess[upstream], x)
+	}
+	for upstream, list := range byProcess {
+		parts = append(parts, retry.CrashesOfParts(upstream, list)...)
 	}
 	e.log.With("upstream", to.ID).With("requests", len(requests)).With("parts", len(parts)).Infof("upstream crashed; recorded the requests running there")
 	e.scope.Counter("crashes").Inc(1)
 	e.addRequestCrashes(now, requests, true)
-	e.addPartCrashes(now, parts)
+	e.addPartCrashes(now, parts, true)
 }
 
 // addRequestCrashes records crashes by whole requests. Those that the entry found itself are
@@ -80,7 +90,7 @@
 	added, refuting := e.requestEvidence.AddCrashes(now, crashes)
 	spread := own || e.gossiper.AliveCount(now) > member.Fanout+1
 	for _, c := range added {
-		n := e.requestEvidence.Count(c.Subject)
+		n, _ := e.requestEvidence.Count(c.Subject)
 		if spread || n > 1 {
 			e.gossiper.BroadcastCrash(encodeCrash(now, c, true))
 		}
@@ -92,16 +102,24 @@
 }
 
 // addPartCrashes records crashes by parts of prompts. What is new is passed on, so that
-// it reaches entries whose datagram was lost or that get none from its first sender.
-func (e *Entry) addPartCrashes(now time.Time, crashes []retry.Crash) {
+// it reaches entries whose datagram was lost or that get none from its first sender; so is
+// all that the entry found itself, as peers that know of the crash had other requests there.
+func (e *Entry) addPartCrashes(now time.Time, crashes []retry.Crash, own bool) {
 	if len(crashes) == 0 {
 		return
 	}
 	added, refuting := e.partEvidence.AddCrashes(now, crashes)
 	for _, c := range added {
-		e.gossiper.BroadcastCrash(encodeCrash(now, c, false))
-		if part, ok := e.partEvidence.FindQuarantined(now, c.Subject); ok {
-			e.log.With("part", part).With("crash", c.Upstream).Warnf("requests with this part of the prompt crash upstreams; refusing them")
+		if own || !c.Known {
+			e.gossiper.BroadcastCrash(encodeCrash(now, c, false))
+		}
+		group, ok := e.partEvidence.Quarantine(now, c.Subject)
+		n, requests := e.partEvidence.Count(c.Subject)
+		logger := e.log.With("part", c.Subject).With("crash", c.Upstream).With("crashes", n).With("requests", requests)
+		if ok {
+			logger.With("together", strings.Join(group, ",")).Warnf("requests with this part of the prompt crash upstreams; refusing them")
+		} else if n >= minLoggedCrashes && !c.Known {
+			logger.Infof("this part of the prompt was there at several crashes; another one explains them, or they do not suffice")
 		}
 	}
 	e.broadcastSuccesses(now, refuting, false)
@@ -136,7 +154,10 @@
 	var requests, parts []retry.Crash
 	for _, c := range crashes {
 		at := timeAgo(now, c.GetAgo())
-		crash := retry.Crash{Subject: c.GetSubject(), Upstream: c.GetUpstream(), Began: timeAgo(at, c.GetRan()), At: at}
+		crash := retry.Crash{
+			Subject: c.GetSubject(), Upstream: c.GetUpstream(), Began: timeAgo(at, c.GetRan()), At: at,
+			Requests: retry.RequestSet(c.GetRequests()),
+		}
 		if c.GetWhole() {
 			requests = append(requests, crash)
 		} else {
@@ -144,7 +165,7 @@
 		}
 	}
 	e.addRequestCrashes(now, requests, false)
-	e.addPartCrashes(now, parts)
+	e.addPartCrashes(now, parts, false)
 	for _, s := range successes {
 		success := []retry.Success{{Subject: s.GetSubject(), At: timeAgo(now, s.GetAgo())}}
 		if s.GetWhole() {
@@ -170,6 +191,7 @@
 func encodeCrash(now time.Time, c retry.Crash, whole bool) *wire.Crash {
 	return &wire.Crash{
 		Subject: c.Subject, Upstream: c.Upstream, Ago: max(0, now.Sub(c.At).Milliseconds()), Ran: max(0, c.At.Sub(c.Began).Milliseconds()), Whole: whole,
+		Requests: uint64(c.Requests),
 	}
 }
 
@@ -182,7 +204,7 @@
 // being opened.
 func (e *Entry) recordAbort(now time.Time, q *request, to fleet.Upstream, begun bool) {
 	e.recordOutcome(now, to, true)
-	x := retry.Abort{Began: q.sentAt, StartedAt: to.StartedAt, Fingerprint: q.computeFingerprint()}
+	x := retry.Abort{Began: q.sentAt, StartedAt: to.StartedAt, Fingerprint: q.computeFingerprint(), Request: xxhash.Sum64String(q.info.ID)}
 	if !begun {
 		x.Parts = q.info.Parts
 	}
--- a/direct/part_test.go
+++ b/direct/part_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -172,3 +173,135 @@
 	defer s.swapping.Unlock()
 	return s.entries[i]
 }
+
+// deadlyPlan is an arrangement of sound requests and of others with a part that crashes
+// upstreams, at a steady rate each.
+type deadlyPlan struct {
+	replicas   int
+	crashAfter int
+	// events is the number of events of a response, one each 100 ms.
+	events int
+	// shared are the parts that all requests share.
+	shared string
+	// calm is the time with sound requests alone, deadlyEvery that between two others, trouble
+	// the time with both.
+	calm, deadlyEvery, trouble time.Duration
+	// restart starts one entry anew after the first crash.
+	restart bool
+}
+
+// playDeadly plays an arrangement and checks that at most three requests with the part reach
+// upstreams later than a second after the fifth crash, and that at least half of the sound ones
+// begin that come once upstreams are back after it.
+func playDeadly(t *testing.T, p deadlyPlan) {
+	const (
+		soundEvery = 50 * time.Millisecond
+		downtime   = time.Second
+		settling   = time.Second
+		minSample  = 20
+	)
+	s := newStack(t, 2)
+	s.addCrashing(p.replicas, "bad")
+	for _, r := range s.replicas {
+		r.EventCount, r.EventGap, r.CrashAfter, r.Slots = p.events, 100*time.Millisecond, p.crashAfter, 256
+		r.SetCrashParts(map[string]bool{"bad": true}, downtime, func() { s.store.Put(r.StoreKey(), r.Registration("ready")) })
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	type sample struct {
+		at     time.Time
+		status int
+	}
+	var sending sync.WaitGroup
+	var mu sync.Mutex
+	var sound []sample
+	send := func(n int, prefix string, isSound bool) {
+		sending.Go(func() {
+			at := time.Now()
+			s.sendStream(ctx, s.entry(n%2), callerRequest{
+				path: "/long/x", key: testKey, stream: true, body: fmt.Sprint(n),
+				header: map[string]string{"Cactustide-Prompt-Prefix": prefix + fmt.Sprintf(",own%d:9", n), "Cactustide-Deadline-Ms": "12000"},
+			}, func(status int) {
+				if isSound && ctx.Err() == nil {
+					mu.Lock()
+					sound = append(sound, sample{at, status})
+					mu.Unlock()
+				}
+			})
+		})
+	}
+	begin, deadlyAt, restarted := time.Now(), time.Now().Add(p.calm), !p.restart
+	for n := 0; time.Since(begin) < p.calm+p.trouble; n++ {
+		send(n, p.shared+fmt.Sprintf(",s%d:30", n%20), true)
+		if !time.Now().Before(deadlyAt) {
+			n++
+			send(n, p.shared+",bad:50", false)
+			deadlyAt = deadlyAt.Add(p.deadlyEvery)
+		}
+		if !restarted && len(s.crashTimes()) > 0 {
+			restarted = true
+			s.restartEntry(0)
+		}
+		time.Sleep(soundEvery)
+	}
+	cancel()
+	sending.Wait()
+	crashes := s.crashTimes()
+	if len(crashes) < 3 {
+		t.Fatalf("got %d crashes, want at least three", len(crashes))
+	}
+	settled := crashes[min(len(crashes), 5)-1].Add(settling)
+	if got := s.arrivals("bad", settled); got > 3 {
+		t.Errorf("got %d requests with the part at upstreams after the fifth of %d crashes, want at most 3", got, len(crashes))
+	}
+	began, all := 0, 0
+	for _, x := range sound {
+		if x.at.After(settled.Add(downtime)) {
+			all++
+			if x.status == http.StatusOK {
+				began++
+			}
+		}
+	}
+	if all < minSample || 2*began < all {
+		t.Errorf("got %d of %d sound requests begun after %d crashes, want at least half of %d or more", began, all, len(crashes), minSample)
+	}
+}
+
+// sendStream sends a request and reads its response to the end. It passes on the status at the
+// first event, or 0 if there is none.
+func (s *testStack) sendStream(ctx context.Context, e *testEntry, r callerRequest, begun func(status int)) {
+	req, _ := s.newRequest(ctx, e, r)
+	resp, err := s.client.Do(req)
+	if err != nil {
+		begun(0)
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if _, err = resp.Body.Read(make([]byte, 1)); err != nil && err != io.EOF {
+		begun(0)
+		return
+	}
+	begun(resp.StatusCode)
+	_, _ = io.Copy(io.Discard, resp.Body) // The stream may break off.
+}
+
+// TestSharedPart guards against a part that sound requests share being refused with the one that
+// crashes upstreams before the first event, where no response is complete before the crashes.
+func TestSharedPart(t *testing.T) {
+	tests := map[string]deadlyPlan{
+		"one shared part":        {replicas: 3, events: 60, shared: "aa:60", calm: 2 * time.Second, deadlyEvery: 400 * time.Millisecond, trouble: 9 * time.Second},
+		"three shared parts":     {replicas: 3, events: 60, shared: "aa:60,ab:60,ac:60", calm: 2 * time.Second, deadlyEvery: 400 * time.Millisecond, trouble: 9 * time.Second},
+		"two upstreams":          {replicas: 2, events: 60, shared: "aa:60", calm: 2 * time.Second, deadlyEvery: 400 * time.Millisecond, trouble: 9 * time.Second},
+		"nine upstreams":         {replicas: 9, events: 60, shared: "aa:60", calm: 2 * time.Second, deadlyEvery: 300 * time.Millisecond, trouble: 9 * time.Second},
+		"from the first request": {replicas: 3, events: 60, shared: "aa:60", deadlyEvery: 400 * time.Millisecond, trouble: 9 * time.Second},
+		"each 3 s":               {replicas: 2, events: 60, shared: "aa:60", calm: time.Second, deadlyEvery: 3 * time.Second, trouble: 16 * time.Second},
+		"an entry restarts":      {replicas: 3, events: 60, shared: "aa:60", calm: 2 * time.Second, deadlyEvery: 400 * time.Millisecond, trouble: 9 * time.Second, restart: true},
+	}
+	for name, plan := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			playDeadly(t, plan)
+		})
+	}
+}
--- a/direct/stack_test.go
+++ b/direct/stack_test.go
@@ -65,6 +65,7 @@
 	{Host: testHost, Prefix: "/book/", Kind: "non_idempotent", Service: "desk", Timeout: 2 * time.Second, MaxAttempts: 1},
 	{Host: testHost, Prefix: "/chat/", Kind: "streaming", Service: "desk", Timeout: 3 * time.Second, MaxAttempts: 1},
 	{Host: testHost, Prefix: "/draft/", Kind: "streaming", Service: "desk", Timeout: 3 * time.Second, MaxAttempts: 2, Resumable: true},
+	{Host: testHost, Prefix: "/long/", Kind: "streaming", Service: "desk", Timeout: 12 * time.Second, MaxAttempts: 1},
 	{Host: testHost, Prefix: "/open/", Kind: "idempotent", Service: "desk", Timeout: 2 * time.Second, MaxAttempts: 2, Public: true},
 }
 
@@ -209,7 +210,8 @@
 	err error
 }
 
-func (s *testStack) send(ctx context.Context, e *testEntry, request callerRequest) callerResponse {
+// newRequest returns a request of a caller and its id.
+func (s *testStack) newRequest(ctx context.Context, e *testEntry, request callerRequest) (*http.Request, string) {
 	s.t.Helper()
 	if request.method == "" {
 		request.method = http.MethodPost
@@ -233,6 +235,13 @@
 	for name, value := range request.header {
 		req.Header.Set(name, value)
 	}
+	return req, id
+}
+
+// send sends a request to an entry and returns the response.
+func (s *testStack) send(ctx context.Context, e *testEntry, request callerRequest) callerResponse {
+	s.t.Helper()
+	req, id := s.newRequest(ctx, e, request)
 	resp, err := s.client.Do(req)
 	if err != nil {
 		return callerResponse{id: id, err: err}
--- a/relay/event.go
+++ b/relay/event.go
@@ -23,7 +23,7 @@
 
 // BroadcastCrash announces that an upstream crashed while it ran a request.
 func (g *Gossiper) BroadcastCrash(c *wire.Crash) {
-	g.broadcast(16+len(c.GetSubject())+len(c.GetUpstream()), func(msg *wire.Gossip) { msg.Crashes = append(msg.Crashes, c) })
+	g.broadcast(28+len(c.GetSubject())+len(c.GetUpstream()), func(msg *wire.Gossip) { msg.Crashes = append(msg.Crashes, c) })
 }
 
 // BroadcastSuccess announces a whole response.
--- a/retry/abort.go
+++ b/retry/abort.go
@@ -31,6 +31,8 @@
 	// StartedAt is the start of the upstream's process, Unix milliseconds.
 	StartedAt   int64
 	Fingerprint uint64
+	// Request is a hash of the request's id.
+	Request uint64
 	// Parts are the shared parts of the prompt, if the response had not begun.
 	Parts []string
 }
--- a/retry/evidence.go
+++ b/retry/evidence.go
@@ -3,17 +3,19 @@
 import (
 	"cmp"
 	"maps"
+	"math/bits"
 	"slices"
 	"sync"
 	"time"
 )
 
 const (
-	// evidenceThreshold is the number of crashes at which requests with a subject are
+	// evidenceThreshold is the number of crashes without which no request with a subject is
 	// refused.
 	evidenceThreshold = 3
 	// crashSpacing is the shortest time between two crashes that count as two for a prompt
-	// part: upstreams that fail together say little about the requests that ran there.
+	// part, and less counts as a fraction: upstreams that fail together say little about the
+	// requests that ran there.
 	crashSpacing = 250 * time.Millisecond
 	// overlapSlack is how long before the last crash a request may have been sent to count as
 	// another one: copies of a request that run for longer when upstreams fail together are
@@ -31,8 +33,7 @@
 	maxSuccesses = 8192
 )
 
-// Crash states that an upstream crashed while it ran a request, or for a prompt part,
-// before the response had begun.
+// Crash states that an upstream crashed while it ran requests with a subject.
 type Crash struct {
 	// Subject is the request's fingerprint or the part.
 	Subject string
@@ -41,6 +42,40 @@
 	// Began is when the request was sent there; zero means At.
 	Began time.Time
 	At    time.Time
+	// Requests are the requests with the subject that the crash ended.
+	Requests RequestSet
+	// Known is set by AddCrashes if another process has told of the same crash before.
+	Known bool
+}
+
+// RequestSet is a set of requests that merges in any order and any number of times: the bit of
+// each is chosen by a hash of its id. Sets that differ may be taken for the same, and the size
+// is an estimate that is low for more than some 30.
+type RequestSet uint64
+
+// Add adds a request by the hash of its id.
+func (s *RequestSet) Add(hash uint64) { *s |= 1 << (hash % 64) }
+
+// size returns the number of requests, at least 1: a process of an earlier version sends no set.
+func (s RequestSet) size() int { return max(1, bits.OnesCount64(uint64(s))) }
+
+// CrashesOfParts returns the crashes of the prompt parts of requests that a crash of an
+// upstream's process ended.
+func CrashesOfParts(process string, aborted []Abort) []Crash {
+	var list []Crash
+	index := map[string]int{}
+	for _, x := range aborted {
+		for _, part := range x.Parts {
+			i, ok := index[part]
+			if !ok {
+				i = len(list)
+				index[part] = i
+				list = append(list, Crash{Subject: part, Upstream: process, Began: x.Began, At: x.At})
+			}
+			list[i].Requests.Add(x.Request)
+		}
+	}
+	return list
 }
 
 // Success states that a request with the subject got its whole response.
@@ -49,46 +84,59 @@
 	At      time.Time
 }
 
-// crashTime is when a request was sent to an upstream and when that crashed.
-type crashTime struct{ began, at time.Time }
+// crashRecord is when a request was sent to an upstream, when that crashed, and the requests
+// with the subject that the crash ended.
+type crashRecord struct {
+	began, at time.Time
+	requests  RequestSet
+}
+
+// quarantine is a group of subjects that the crashes do not tell apart: requests that hold
+// all of them are refused.
+type quarantine struct {
+	subjects []string
+	// last is the time of the last crash.
+	last time.Time
+}
 
 // Evidence finds what crashes upstreams: whole requests, or parts of prompts whatever else
 // the request holds. Each process of an upstream counts once. A whole response refutes the
-// crashes before it and those shortly after it. The evidence of several processes merges in
-// any order and any number of times. It is safe for concurrent use.
+// crashes before it and those shortly after it. Of the subjects that ran at the same crashes
+// the one that explains them best is refused; findSuspects says which that is. The evidence of
+// several processes merges in any order and any number of times. It is safe for concurrent use.
 type Evidence struct {
-	// spacing is the shortest time between two crashes that count as two; 0 means that the
-	// request must have been sent after the earlier one. quarantine is how long after the
-	// last crash requests are refused.
-	spacing    time.Duration
-	quarantine time.Duration
+	// period is how long after the last crash requests are refused. parts is set if the
+	// subjects are parts of prompts: a request holds several of them.
+	period time.Duration
+	parts  bool
 
 	mu sync.Mutex
-	// crashes holds the time of each crash by subject and process, quarantined the subjects
-	// whose requests are refused.
-	crashes     map[string]map[string]crashTime
-	quarantined map[string]bool
+	// crashes holds the record of each crash by subject and process, quarantined the group of
+	// each subject whose requests are refused.
+	crashes     map[string]map[string]crashRecord
+	quarantined map[string]*quarantine
 	successes   map[string]time.Time
 	count       int
 }
 
 // NewPartEvidence returns an empty set about parts of prompts.
-func NewPartEvidence() *Evidence { return newEvidence(crashSpacing, partQuarantine) }
+func NewPartEvidence() *Evidence { return newEvidence(partQuarantine, true) }
 
 // NewRequestEvidence returns an empty set about whole requests. The retries of an attempt
 // crash upstreams within milliseconds, so that time alone does not tell two crashes from
 // upstreams that fail together.
-func NewRequestEvidence() *Evidence { return newEvidence(0, crashRecordTTL) }
+func NewRequestEvidence() *Evidence { return newEvidence(crashRecordTTL, false) }
 
-func newEvidence(spacing, quarantine time.Duration) *Evidence {
+func newEvidence(period time.Duration, parts bool) *Evidence {
 	return &Evidence{
-		spacing: spacing, quarantine: quarantine,
-		crashes: map[string]map[string]crashTime{}, quarantined: map[string]bool{}, successes: map[string]time.Time{},
+		period: period, parts: parts,
+		crashes: map[string]map[string]crashRecord{}, quarantined: map[string]*quarantine{}, successes: map[string]time.Time{},
 	}
 }
 
-// AddCrashes adds crashes and returns those that were new, most crashes of one subject
-// first, and the successes that refute others. Both are for the peers.
+// AddCrashes adds crashes and returns those that were new or ended requests that were not
+// known, most crashes of one subject first, and the successes that refute others. Both are
+// for the peers.
 func (e *Evidence) AddCrashes(now time.Time, list []Crash) (added []Crash, refuting []Success) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -101,17 +149,23 @@
 			continue
 		}
 		if e.crashes[c.Subject] == nil {
-			e.crashes[c.Subject] = map[string]crashTime{}
-		}
-		if _, ok := e.crashes[c.Subject][c.Upstream]; ok {
-			continue
+			e.crashes[c.Subject] = map[string]crashRecord{}
 		}
 		if c.Began.IsZero() {
 			c.Began = c.At
 		}
-		e.crashes[c.Subject][c.Upstream] = crashTime{began: c.Began, at: c.At}
-		e.count++
-		added = append(added, c)
+		record, ok := e.crashes[c.Subject][c.Upstream]
+		if !ok {
+			record = crashRecord{began: c.Began, at: c.At}
+			e.count++
+		}
+		before := record
+		record.requests |= c.Requests
+		e.crashes[c.Subject][c.Upstream] = record
+		if !ok || record != before {
+			c.Known = ok
+			added = append(added, c)
+		}
 	}
 	slices.SortStableFunc(added, func(a, b Crash) int { return cmp.Compare(len(e.crashes[b.Subject]), len(e.crashes[a.Subject])) })
 	e.trim(now)
@@ -119,11 +173,14 @@
 	return added, refuting
 }
 
-// Count returns the number of crashes of a subject.
-func (e *Evidence) Count(subject string) int {
+// Count returns the number of crashes of a subject and of the requests that they ended.
+func (e *Evidence) Count(subject string) (crashes, requests int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return len(e.crashes[subject])
+	for _, r := range e.crashes[subject] {
+		requests += r.requests.size()
+	}
+	return len(e.crashes[subject]), requests
 }
 
 // AddSuccess records that a request with the subjects got its whole response, and returns
@@ -164,16 +221,40 @@
 	return clearing
 }
 
-// FindQuarantined returns the first of the subjects whose requests are refused.
-func (e *Evidence) FindQuarantined(now time.Time, subjects ...string) (string, bool) {
+// FindQuarantined reports whether a request that holds the subjects is refused, and returns
+// those of them for which it is.
+func (e *Evidence) FindQuarantined(now time.Time, subjects ...string) ([]string, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, subject := range subjects {
-		if e.quarantined[subject] && now.Sub(e.lastCrash(subject)) < e.quarantine {
-			return subject, true
+		q := e.quarantined[subject]
+		if q == nil || now.Sub(q.last) >= e.period || q.subjects[0] != subject {
+			continue
 		}
+		if len(q.subjects) == 1 || containsAll(subjects, q.subjects) {
+			return q.subjects, true
+		}
+	}
+	return nil, false
+}
+
+// Quarantine returns the group of a subject whose requests are refused.
+func (e *Evidence) Quarantine(now time.Time, subject string) ([]string, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if q := e.quarantined[subject]; q != nil && now.Sub(q.last) < e.period {
+		return q.subjects, true
 	}
-	return "", false
+	return nil, false
+}
+
+// containsAll reports whether a list contains all elements of another one.
+func containsAll(list, wanted []string) bool {
+	held := make(map[string]bool, len(list))
+	for _, s := range list {
+		held[s] = true
+	}
+	return !slices.ContainsFunc(wanted, func(s string) bool { return !held[s] })
 }
 
 // Crashes returns all crashes, for a peer that has just started.
@@ -184,7 +265,7 @@
 	var list []Crash
 	for subject, crashes := range e.crashes {
 		for upstream, t := range crashes {
-			list = append(list, Crash{Subject: subject, Upstream: upstream, Began: t.began, At: t.at})
+			list = append(list, Crash{Subject: subject, Upstream: upstream, Began: t.began, At: t.at, Requests: t.requests})
 		}
 	}
 	return list
@@ -200,65 +281,15 @@
 	return last
 }
 
-// evaluate decides anew which subjects are quarantined. The one with the most crashes comes
-// first; a crash that it explains does not count for the others that were there by chance.
+// evaluate decides anew which subjects are quarantined.
 func (e *Evidence) evaluate() {
 	clear(e.quarantined)
-	explained := map[string]bool{}
-	for {
-		best := 0
-		var worst []string
-		for subject, crashes := range e.crashes {
-			if e.quarantined[subject] {
-				continue
-			}
-			n := e.countCrashes(crashes, explained)
-			if n >= evidenceThreshold && n >= best {
-				if n > best {
-					worst = worst[:0]
-				}
-				best = n
-				worst = append(worst, subject)
-			}
-		}
-		if len(worst) == 0 {
-			return
-		}
-		for _, subject := range worst {
-			e.quarantined[subject] = true
-			for upstream := range e.crashes[subject] {
-				explained[upstream] = true
-			}
-		}
-	}
-}
-
-// countCrashes counts the crashes that are not explained and tell more than the one before.
-func (e *Evidence) countCrashes(crashes map[string]crashTime, explained map[string]bool) int {
-	var times []crashTime
-	for upstream, t := range crashes {
-		if !explained[upstream] {
-			times = append(times, t)
-		}
-	}
-	slices.SortFunc(times, func(a, b crashTime) int { return a.at.Compare(b.at) })
-	n := 0
-	var last crashTime
-	for _, t := range times {
-		if n == 0 || e.isAnother(last, t) {
-			n++
-			last = t
+	for _, group := range findSuspects(e.crashes, e.parts) {
+		q := &quarantine{subjects: group, last: e.lastCrash(group[0])}
+		for _, subject := range group {
+			e.quarantined[subject] = q
 		}
 	}
-	return n
-}
-
-// isAnother reports whether a crash counts beside the one before it.
-func (e *Evidence) isAnother(last, next crashTime) bool {
-	if e.spacing > 0 {
-		return next.at.Sub(last.at) >= e.spacing
-	}
-	return !next.began.Before(last.at.Add(-overlapSlack))
 }
 
 // trim removes the crashes that are too old, and subjects above the bound: those with the
@@ -266,17 +297,21 @@
 func (e *Evidence) trim(now time.Time) {
 	e.count = 0
 	for subject, crashes := range e.crashes {
-		maps.DeleteFunc(crashes, func(_ string, t crashTime) bool { return now.Sub(t.at) >= crashRecordTTL })
+		maps.DeleteFunc(crashes, func(_ string, t crashRecord) bool { return now.Sub(t.at) >= crashRecordTTL })
 		if len(crashes) == 0 {
 			delete(e.crashes, subject)
 		}
 		e.count += len(crashes)
 	}
-	for e.count > maxCrashes {
-		subject := e.leastSuspect()
+	if e.count <= maxCrashes {
+		return
+	}
+	for _, subject := range e.leastSuspect() {
 		e.count -= len(e.crashes[subject])
 		delete(e.crashes, subject)
-		delete(e.quarantined, subject)
+		if e.count <= maxCrashes {
+			return
+		}
 	}
 }
 
@@ -289,16 +324,14 @@
 	}
 }
 
-// leastSuspect returns the subject with the fewest crashes, and of these the one whose last
-// crash is the longest ago.
-func (e *Evidence) leastSuspect() string {
-	least, fewest := "", 0
-	var oldest time.Time
-	for subject, crashes := range e.crashes {
-		at := e.lastCrash(subject)
-		if least == "" || cmp.Or(cmp.Compare(len(crashes), fewest), at.Compare(oldest)) < 0 {
-			least, fewest, oldest = subject, len(crashes), at
-		}
+// leastSuspect returns the subjects in the order of their crashes, fewest first, and of these
+// the one whose last crash is the longest ago.
+func (e *Evidence) leastSuspect() []string {
+	last := make(map[string]time.Time, len(e.crashes))
+	for subject := range e.crashes {
+		last[subject] = e.lastCrash(subject)
 	}
-	return least
+	return slices.SortedFunc(maps.Keys(e.crashes), func(a, b string) int {
+		return cmp.Or(cmp.Compare(len(e.crashes[a]), len(e.crashes[b])), last[a].Compare(last[b]), cmp.Compare(a, b))
+	})
 }
--- /dev/null
+++ b/retry/suspect.go
@@ -0,0 +1,271 @@
+package retry
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// partThreshold is the number of crashes at which requests with a part are refused; those
+	// that follow each other closely count as fractions.
+	partThreshold = 2.5
+	// crowdCost is what each doubling of the requests that a crash ended takes from the
+	// crashes of a part, in crashes, and minWeight what must be left of them: the more requests
+	// ran at a crash, the more likely one with the part was there by chance.
+	crowdCost = 0.5
+	minWeight = 2.0
+	// crowdRank is the same for the order of the parts.
+	crowdRank = 0.25
+	// minExplained is the number of crashes from which a subject explains them, though it is
+	// refused only from evidenceThreshold on.
+	minExplained = 2
+	// refusedLead is how many more crashes a part must explain than one that was refused
+	// refusedAge before: requests with that one are there at no crash since.
+	refusedLead = 2.0
+	refusedAge  = time.Second
+	// refinedCrashes is the share of the crashes of a part that a narrower one must explain to
+	// go before it. narrower is how many times more requests the wider one has at a crash,
+	// muchNarrower the same where there are fewer crashes than evidenceThreshold.
+	refinedCrashes = 0.5
+	narrower       = 2.0
+	muchNarrower   = 4.0
+)
+
+// crashesBySubject holds the record of each crash by subject and process.
+type crashesBySubject map[string]map[string]crashRecord
+
+// suspect is what the crashes that nothing else explains say of a subject.
+type suspect struct {
+	subject string
+	// processes is the number of processes that crashed, requests that of the requests with
+	// the subject that ended there.
+	processes, requests int
+	// count is the number of crashes that tell more than the ones before, and reached is when it
+	// came to the threshold; zero if it did not.
+	count   float64
+	reached time.Time
+}
+
+// findSuspects returns the subjects that explain the crashes, as groups: requests that hold all
+// subjects of one are to be refused. The subject with the most crashes explains them; a crash that
+// it explains does not count for others, which were there by chance. Parts are compared by the
+// requests that held them as well:
+//   - A part that many requests share is there at each crash. A narrower one that was always in
+//     one of these requests explains the crashes better.
+//   - Parts that were in the same requests at each crash are one group, as nothing tells them
+//     apart. A request with one of them alone runs, and shows which one it is.
+//   - The crashes that come while requests with a part are refused say nothing about that part.
+func findSuspects(all crashesBySubject, parts bool) [][]string {
+	search := &suspectSearch{parts: parts, crashes: crashesBySubject{}, explained: map[string]bool{}}
+	enough := false
+	for subject, crashes := range all {
+		if len(crashes) >= minExplained {
+			search.crashes[subject] = crashes
+		}
+		enough = enough || len(crashes) >= evidenceThreshold
+	}
+	if !enough {
+		return nil
+	}
+	var groups [][]string
+	for {
+		worst, ok := search.findWorst()
+		if !ok {
+			return groups
+		}
+		group := search.findGroup(worst)
+		if search.suffices(worst) {
+			groups = append(groups, group)
+		}
+		for process := range search.crashes[worst.subject] {
+			search.explained[process] = true
+		}
+	}
+}
+
+// suspectSearch is the state of findSuspects.
+type suspectSearch struct {
+	parts   bool
+	crashes crashesBySubject
+	// explained holds the processes whose crash a subject explains.
+	explained map[string]bool
+}
+
+// findWorst returns the subject that explains most, or false if none explains anything.
+func (s *suspectSearch) findWorst() (suspect, bool) {
+	var found ranking
+	for subject, crashes := range s.crashes {
+		x := s.weigh(subject, crashes)
+		if x.processes < minExplained {
+			delete(s.crashes, subject) // No crash becomes unexplained again.
+			continue
+		}
+		found.add(x, s.suffices(x))
+	}
+	worst := found.best(s.parts)
+	for s.parts && worst.subject != "" {
+		refined, ok := s.refine(worst)
+		if !ok {
+			break
+		}
+		worst = refined
+	}
+	return worst, worst.subject != ""
+}
+
+// refine returns the worst of the parts that were always in a request with the given one, in
+// fewer requests than that, and explain much of what it does.
+func (s *suspectSearch) refine(wide suspect) (suspect, bool) {
+	var found ranking
+	for subject, crashes := range s.crashes {
+		x := s.weigh(subject, crashes)
+		if x.processes < minExplained || float64(x.processes) < refinedCrashes*float64(wide.processes) || x.crowd() >= wide.crowd() {
+			continue
+		}
+		ratio, enough := 1.0, s.suffices(x)
+		if !enough {
+			ratio = muchNarrower
+		} else if x.processes < wide.processes {
+			ratio = narrower
+		}
+		if x.crowd()+math.Log2(ratio) <= wide.crowd() && s.isRefined(crashes, s.crashes[wide.subject]) {
+			found.add(x, enough)
+		}
+	}
+	worst := found.best(true)
+	return worst, worst.subject != ""
+}
+
+// ranking finds the subject that explains most.
+type ranking struct {
+	// first is the one for which the crashes sufficed first.
+	worst, first suspect
+}
+
+func (r *ranking) add(x suspect, suffices bool) {
+	if x.isWorse(r.worst) {
+		r.worst = x
+	}
+	if suffices && x.isBefore(r.first) {
+		r.first = x
+	}
+}
+
+// best returns the subject that explains most; a part that was refused before it did keeps its
+// place unless the other explains far more.
+func (r *ranking) best(parts bool) suspect {
+	if parts && r.first.subject != "" && r.worst.rank() <= r.first.rank()+refusedLead && r.worst.reached.Sub(r.first.reached) >= refusedAge {
+		return r.first
+	}
+	return r.worst
+}
+
+// isRefined reports whether, at each crash that is not explained, the requests with the narrow
+// part are among those with the wide one.
+func (s *suspectSearch) isRefined(narrow, wide map[string]crashRecord) bool {
+	for process, r := range narrow {
+		if !s.explained[process] && (r.requests == 0 || r.requests&^wide[process].requests != 0) {
+			return false
+		}
+	}
+	return true
+}
+
+// findGroup returns the parts that were in the same requests as the worst one, sorted.
+func (s *suspectSearch) findGroup(worst suspect) []string {
+	group := []string{worst.subject}
+	for subject, crashes := range s.crashes {
+		if s.parts && subject != worst.subject && s.isRefined(crashes, s.crashes[worst.subject]) && s.isRefined(s.crashes[worst.subject], crashes) {
+			group = append(group, subject)
+		}
+	}
+	slices.Sort(group)
+	return group
+}
+
+// weigh counts the crashes that are not explained and the requests that they ended.
+func (s *suspectSearch) weigh(subject string, crashes map[string]crashRecord) suspect {
+	x := suspect{subject: subject}
+	records := make([]crashRecord, 0, len(crashes))
+	for process, r := range crashes {
+		if !s.explained[process] {
+			records = append(records, r)
+			x.requests += r.requests.size()
+		}
+	}
+	x.processes = len(records)
+	slices.SortFunc(records, func(a, b crashRecord) int { return a.at.Compare(b.at) })
+	if s.parts {
+		x.count, x.reached = countPartCrashes(records)
+	} else {
+		x.count = float64(countRequestCrashes(records))
+	}
+	return x
+}
+
+// countPartCrashes counts crashes in the order of time; those that follow each other closely count
+// as fractions. It returns when the count came to the threshold, too.
+func countPartCrashes(records []crashRecord) (count float64, reached time.Time) {
+	var last time.Time
+	for i, r := range records {
+		value := 1.0
+		if i > 0 {
+			value *= min(1, float64(r.at.Sub(last))/float64(crashSpacing))
+		}
+		count += value
+		last = r.at
+		if count >= partThreshold && reached.IsZero() {
+			reached = r.at
+		}
+	}
+	return count, reached
+}
+
+// countRequestCrashes counts crashes in the order of time. The request must have been sent after
+// the last one that counts, but for overlapSlack.
+func countRequestCrashes(records []crashRecord) int {
+	count := 0
+	var last time.Time
+	for _, r := range records {
+		if count == 0 || !r.began.Before(last.Add(-overlapSlack)) {
+			count++
+			last = r.at
+		}
+	}
+	return count
+}
+
+// suffices reports whether requests with the subject are to be refused.
+func (s *suspectSearch) suffices(x suspect) bool {
+	if s.parts {
+		return x.count >= partThreshold && x.count-crowdCost*x.crowd() >= minWeight
+	}
+	return x.count >= evidenceThreshold
+}
+
+// crowd returns how often the requests with the subject at a crash must be halved to get one.
+func (x suspect) crowd() float64 { return math.Log2(float64(x.requests) / float64(x.processes)) }
+
+// isWorse reports whether a subject explains more than another one.
+func (x suspect) isWorse(other suspect) bool {
+	if other.subject == "" {
+		return true
+	}
+	return cmp.Or(
+		cmp.Compare(x.rank(), other.rank()),
+		cmp.Compare(x.count, other.count), cmp.Compare(other.subject, x.subject),
+	) > 0
+}
+
+// rank is the number of crashes that a subject explains, less what its crowd takes.
+func (x suspect) rank() float64 { return float64(x.processes) - crowdRank*x.crowd() }
+
+// isBefore reports whether the crashes sufficed for a subject before they did for another one.
+func (x suspect) isBefore(other suspect) bool {
+	if other.subject == "" {
+		return true
+	}
+	return x.reached.Before(other.reached) || x.reached.Equal(other.reached) && x.isWorse(other)
+}
