--- a/direct/crash.go
+++ b/direct/crash.go
@@ -66,15 +66,19 @@
 	}
 	var requests, parts []retry.Crash
 	byProcess := map[string][]retry.Abort{}
+	begun := 0
 	for _, x := range aborted {
 		upstream := to.ID + "@" + strconv.FormatInt(x.StartedAt, 10)
 		requests = append(requests, retry.Crash{Subject: encodeFingerprint(x.Fingerprint), Upstream: upstream, Began: x.Began, At: x.At})
 		byProcess[upstream] = append(byProcess[upstream], x)
+		if !x.Responded.IsZero() {
+			begun++
+		}
 	}
 	for upstream, list := range byProcess {
 		parts = append(parts, retry.CrashesOfParts(upstream, list)...)
 	}
-	e.log.With("upstream", to.ID).With("requests", len(requests)).With("parts", len(parts)).Infof("upstream crashed; recorded the requests running there")
+	e.log.With("upstream", to.ID).With("requests", len(requests)).With("begun", begun).With("parts", len(parts)).Infof("upstream crashed; recorded the requests running there")
 	e.scope.Counter("crashes").Inc(1)
 	e.addRequestCrashes(now, requests, true)
 	e.addPartCrashes(now, parts, true)
@@ -156,7 +160,7 @@
 		at := timeAgo(now, c.GetAgo())
 		crash := retry.Crash{
 			Subject: c.GetSubject(), Upstream: c.GetUpstream(), Began: timeAgo(at, c.GetRan()), At: at,
-			Requests: retry.RequestSet(c.GetRequests()),
+			Requests: retry.RequestSet(c.GetRequests()), Late: c.GetLate(),
 		}
 		if c.GetWhole() {
 			requests = append(requests, crash)
@@ -191,7 +195,7 @@
 func encodeCrash(now time.Time, c retry.Crash, whole bool) *wire.Crash {
 	return &wire.Crash{
 		Subject: c.Subject, Upstream: c.Upstream, Ago: max(0, now.Sub(c.At).Milliseconds()), Ran: max(0, c.At.Sub(c.Began).Milliseconds()), Whole: whole,
-		Requests: uint64(c.Requests),
+		Requests: uint64(c.Requests), Late: c.Late,
 	}
 }
 
@@ -199,16 +203,15 @@
 	return now.Add(-time.Duration(max(0, milliseconds)) * time.Millisecond)
 }
 
-// recordAbort records that the exchange of a request was aborted, and whether its response
-// had begun. It opens a connection to find out whether the upstream crashed, unless one is
-// being opened.
-func (e *Entry) recordAbort(now time.Time, q *request, to fleet.Upstream, begun bool) {
+// recordAbort records that the exchange of a request was aborted, and when its response had
+// begun; zero if it had not. It opens a connection to find out whether the upstream crashed,
+// unless one is being opened.
+func (e *Entry) recordAbort(now time.Time, q *request, to fleet.Upstream, responded time.Time) {
 	e.recordOutcome(now, to, true)
-	x := retry.Abort{Began: q.sentAt, StartedAt: to.StartedAt, Fingerprint: q.computeFingerprint(), Request: xxhash.Sum64String(q.info.ID)}
-	if !begun {
-		x.Parts = q.info.Parts
-	}
-	e.aborts.Record(now, to.ID, x)
+	e.aborts.Record(now, to.ID, retry.Abort{
+		Began: q.sentAt, Responded: responded, StartedAt: to.StartedAt,
+		Fingerprint: q.computeFingerprint(), Request: xxhash.Sum64String(q.info.ID), Parts: q.info.Parts,
+	})
 	if _, probing := e.probing.LoadOrStore(to.ID, true); probing {
 		return
 	}
--- a/direct/forward.go
+++ b/direct/forward.go
@@ -323,7 +323,7 @@
 		e.fail(w, q, state, http.StatusGatewayTimeout, reasonTimeout)
 		return true
 	}
-	e.recordAbort(now, q, to, state.responseStarted)
+	e.recordAbort(now, q, to, time.Time{})
 	if e.canRetry(q, state) || e.canResume(q, state) {
 		return false
 	}
--- a/direct/response.go
+++ b/direct/response.go
@@ -197,6 +197,7 @@
 	defer s.release()
 	flush := http.NewResponseController(w)
 	count := 0
+	var responded time.Time
 	resumed := state.responseStarted
 	for {
 		event, err := s.next()
@@ -220,9 +221,12 @@
 			}
 		}
 		if err != nil {
-			return e.handleStreamError(ctx, w, q, state, x, count, err)
+			return e.handleStreamError(ctx, w, q, state, x, count, responded, err)
 		}
 		inFlight.RecordEvent(now)
+		if responded.IsZero() {
+			responded = now
+		}
 		if !isNewer(state.lastEventID, id) {
 			q.log.With("request", q.info.ID).With("upstream", x.to.ID).With("last", state.lastEventID).With("event", id).Warnf("dropped an event out of order")
 			continue
@@ -294,7 +298,7 @@
 
 // handleStreamError handles a stream that ended early and reports whether the request
 // is finished.
-func (e *Entry) handleStreamError(ctx context.Context, w http.ResponseWriter, q *request, state *forwardState, x *exchange, count int, err error) bool {
+func (e *Entry) handleStreamError(ctx context.Context, w http.ResponseWriter, q *request, state *forwardState, x *exchange, count int, responded time.Time, err error) bool {
 	x.abort()
 	now := time.Now()
 	logger := q.log.With("request", q.info.ID).With("upstream", x.to.ID).With("events", count).With("last", state.lastEventID).With("parts", q.info.Parts).With("error", err.Error())
@@ -316,7 +320,7 @@
 	if isUnreachable(err) {
 		e.ban(now, x.to, err)
 	}
-	e.recordAbort(now, q, x.to, count > 0)
+	e.recordAbort(now, q, x.to, responded)
 	if e.canResume(q, state) {
 		logger.Infof("stream ended early; resuming at another upstream")
 		return false
--- a/labs/main.go
+++ b/labs/main.go
@@ -23,7 +23,10 @@
 	parser := flaggy.NewParser("lab")
 	parser.Description = "fake services and load generators for cactustide"
 	parser.ShowVersionWithVersionFlag = false
-	commands := []command{newKV(), newEngine(), newPlain(), newPorts(), newPolicy(), newHeavy(), newCrashes(), newRates(), newStack(), newScores(), newSoak(), newSlopes(), newCapacity(), newOverhead()}
+	commands := []command{
+		newKV(), newEngine(), newPlain(), newPorts(), newPolicy(), newHeavy(), newCrashes(),
+		newParts(), newRates(), newStack(), newScores(), newSoak(), newSlopes(), newCapacity(), newOverhead(),
+	}
 	for _, c := range commands {
 		parser.AttachSubcommand(c.parser, 1)
 	}
--- a/retry/abort.go
+++ b/retry/abort.go
@@ -9,6 +9,8 @@
 	// crashWindow is how long before a refused connection an exchange may have
 	// been aborted to be attributed to the crash.
 	crashWindow = time.Second
+	// beginPeriod is how long after its first event a response counts as just begun.
+	beginPeriod = time.Second
 	// maxAborts bounds the aborted exchanges stored for one upstream.
 	maxAborts = 256
 	// abortsInterval is the time between two passes that remove old aborted exchanges.
@@ -33,10 +35,15 @@
 	Fingerprint uint64
 	// Request is a hash of the request's id.
 	Request uint64
-	// Parts are the shared parts of the prompt, if the response had not begun.
+	// Responded is when the response began; zero if it had not.
+	Responded time.Time
+	// Parts are the shared parts of the prompt.
 	Parts []string
 }
 
+// isLate reports whether the response had begun long before the exchange ended.
+func (x Abort) isLate() bool { return !x.Responded.IsZero() && x.At.Sub(x.Responded) > beginPeriod }
+
 // NewAbortTracker returns an empty tracker.
 func NewAbortTracker() *AbortTracker {
 	return &AbortTracker{byUpstream: map[string][]Abort{}}
--- a/retry/evidence.go
+++ b/retry/evidence.go
@@ -44,6 +44,8 @@
 	At    time.Time
 	// Requests are the requests with the subject that the crash ended.
 	Requests RequestSet
+	// Late is set if all of their responses had begun long before.
+	Late bool
 	// Known is set by AddCrashes if another process has told of the same crash before.
 	Known bool
 }
@@ -70,8 +72,9 @@
 			if !ok {
 				i = len(list)
 				index[part] = i
-				list = append(list, Crash{Subject: part, Upstream: process, Began: x.Began, At: x.At})
+				list = append(list, Crash{Subject: part, Upstream: process, Began: x.Began, At: x.At, Late: true})
 			}
+			list[i].Late = list[i].Late && x.isLate()
 			list[i].Requests.Add(x.Request)
 		}
 	}
@@ -89,6 +92,7 @@
 type crashRecord struct {
 	began, at time.Time
 	requests  RequestSet
+	late      bool
 }
 
 // quarantine is a group of subjects that the crashes do not tell apart: requests that hold
@@ -156,11 +160,12 @@
 		}
 		record, ok := e.crashes[c.Subject][c.Upstream]
 		if !ok {
-			record = crashRecord{began: c.Began, at: c.At}
+			record = crashRecord{began: c.Began, at: c.At, late: c.Late}
 			e.count++
 		}
 		before := record
 		record.requests |= c.Requests
+		record.late = record.late && c.Late
 		e.crashes[c.Subject][c.Upstream] = record
 		if !ok || record != before {
 			c.Known = ok
@@ -265,7 +270,7 @@
 	var list []Crash
 	for subject, crashes := range e.crashes {
 		for upstream, t := range crashes {
-			list = append(list, Crash{Subject: subject, Upstream: upstream, Began: t.began, At: t.at, Requests: t.requests})
+			list = append(list, Crash{Subject: subject, Upstream: upstream, Began: t.began, At: t.at, Requests: t.requests, Late: t.late})
 		}
 	}
 	return list
--- a/retry/suspect.go
+++ b/retry/suspect.go
@@ -11,6 +11,9 @@
 	// partThreshold is the number of crashes at which requests with a part are refused; those
 	// that follow each other closely count as fractions.
 	partThreshold = 2.5
+	// lateCrash is what a crash counts for a part whose responses had all begun long before:
+	// upstreams crash mostly as they begin to write.
+	lateCrash = 0.7
 	// crowdCost is what each doubling of the requests that a crash ended takes from the
 	// crashes of a part, in crashes, and minWeight what must be left of them: the more requests
 	// ran at a crash, the more likely one with the part was there by chance.
@@ -211,6 +214,9 @@
 	var last time.Time
 	for i, r := range records {
 		value := 1.0
+		if r.late {
+			value = lateCrash
+		}
 		if i > 0 {
 			value *= min(1, float64(r.at.Sub(last))/float64(crashSpacing))
 		}
