direct: a crash within a large body is evidence too (BUDGET)

A request to which upstreams crash while they write a body of more than 256 KB (not buffered) reached 11 upstreams after the third crash in TestDeadlyRequest/within_a_large_body (3 allowed), and was never refused.

Cause: forwardResponse ended such an exchange without recordAbort, as its one copy could not tell an upstream that broke off from a caller that left. The log has "broken off" and no "upstream crashed" line.

Ruled out: the buffered path (it goes through handleFailure, which records), streams (handleStreamError records).

Change: the reader of the body keeps its own error; where it has one and the caller is there, the abort is recorded with the time at which the response began.

Test: the case fails without the three lines (11 late, status 200 where 503 is due) and passes with them, with the other five cases of TestDeadlyRequest.

--- a/direct/crash_test.go
+++ b/direct/crash_test.go
@@ -48,18 +48,24 @@
 		others            bool
 		// restart starts the entry that gets the next request anew after the third crash.
 		restart bool
+		// bytes is how much of a large body comes before the crash.
+		bytes int
 	}{
 		"rare, four entries":           {entries: 4, replicas: 16, downtime: time.Minute},
 		"rare, ids come back":          {entries: 4, replicas: 3, downtime: 150 * time.Millisecond},
 		"two upstreams, ids come back": {entries: 1, replicas: 2, downtime: 150 * time.Millisecond},
 		"beside others":                {entries: 4, replicas: 2, downtime: 150 * time.Millisecond, others: true},
 		"entries restart":              {entries: 2, replicas: 16, downtime: time.Minute, restart: true},
+		"within a large body":          {entries: 2, replicas: 3, downtime: 150 * time.Millisecond, bytes: 400 << 10},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			s := newStack(t, test.entries)
 			s.addDeadly(test.replicas, test.downtime)
+			for _, r := range s.replicas {
+				r.CrashBytes = test.bytes
+			}
 			done := make(chan struct{})
 			var sending sync.WaitGroup
 			if test.others {
--- a/direct/response.go
+++ b/direct/response.go
@@ -41,7 +41,8 @@
 // forwardResponse forwards a response that is not an event stream and reports whether the
 // request is finished.
 func (e *Entry) forwardResponse(ctx context.Context, w http.ResponseWriter, q *request, state *forwardState, x *exchange, inFlight *place.InFlightRequest) bool {
-	inFlight.RecordEvent(time.Now())
+	responded := time.Now()
+	inFlight.RecordEvent(responded)
 	data, complete, err := x.bufferBody()
 	defer x.releaseBody()
 	if err != nil {
@@ -64,12 +65,16 @@
 		return true
 	}
 	copyHead(w, x, int(x.resp.ContentLength))
+	rest := &bodyReader{reader: x.resp.Body}
 	_, err = w.Write(data)
 	if err == nil {
-		_, err = io.Copy(w, x.resp.Body)
+		_, err = io.Copy(w, rest)
 	}
 	if err != nil {
 		x.abort()
+		if rest.err != nil && ctx.Err() == nil {
+			e.recordAbort(time.Now(), q, x.to, responded)
+		}
 		e.logResult(q, x.resp.StatusCode, "broken off", err)
 		panic(http.ErrAbortHandler)
 	}
@@ -79,6 +84,20 @@
 	return true
 }
 
+// bodyReader keeps the error of reading a body, to tell it from one of writing it on.
+type bodyReader struct {
+	reader io.Reader
+	err    error
+}
+
+func (r *bodyReader) Read(p []byte) (int, error) {
+	n, err := r.reader.Read(p)
+	if err != nil && err != io.EOF {
+		r.err = err
+	}
+	return n, err
+}
+
 var (
 	errNotEvent   = errs.New("bytes that are no event in a stream")
 	errNotResumed = errs.New("upstream did not go on after the last event")
