retry: a crash with very many parts takes bounded work, and requests do not wait for it (CONFIG)

Cause: eviction looked through all subjects for each that it removed, under the lock that every request takes to look its parts up.

Ruled out: the evaluation of suspects as the main part (0.3 ms with a full store; 14 ms where 512 processes have crashed, 3.8 ms now that only changed suspects are weighed again).

Change: a crash adds at most 1,024 parts, first those of requests whose response had not long begun; the subjects whose requests are refused are a map that is replaced, so that a look-up takes no lock.

Test: TestManyParts (bound, choice, and a look-up while the lock is held, which would have waited before).

--- a/retry/evidence.go
+++ b/retry/evidence.go
@@ -4,8 +4,10 @@
 	"cmp"
 	"maps"
 	"math/bits"
+	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -62,14 +64,27 @@
 func (s RequestSet) size() int { return max(1, bits.OnesCount64(uint64(s))) }
 
 // CrashesOfParts returns the crashes of the prompt parts of requests that a crash of an
-// upstream's process ended.
+// upstream's process ended, of at most maxCrashes parts: first those of requests whose response
+// had not long begun.
 func CrashesOfParts(process string, aborted []Abort) []Crash {
+	total := 0
+	for _, x := range aborted {
+		total += len(x.Parts)
+	}
+	if total > maxCrashes {
+		aborted = slices.Clone(aborted)
+		rand.Shuffle(len(aborted), func(i, j int) { aborted[i], aborted[j] = aborted[j], aborted[i] })
+		slices.SortStableFunc(aborted, func(a, b Abort) int { return compareLate(a.isLate(), b.isLate()) })
+	}
 	var list []Crash
 	index := map[string]int{}
 	for _, x := range aborted {
 		for _, part := range x.Parts {
 			i, ok := index[part]
 			if !ok {
+				if len(list) == maxCrashes {
+					continue
+				}
 				i = len(list)
 				index[part] = i
 				list = append(list, Crash{Subject: part, Upstream: process, Began: x.Began, At: x.At, Late: true})
@@ -81,6 +96,18 @@
 	return list
 }
 
+// compareLate orders what is late behind what is not.
+func compareLate(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
 // Success states that a request with the subject got its whole response.
 type Success struct {
 	Subject string
@@ -114,13 +141,15 @@
 	period time.Duration
 	parts  bool
 
+	// quarantined holds the group of each subject whose requests are refused. It is replaced
+	// and not changed, so that requests do not wait for mu.
+	quarantined atomic.Pointer[map[string]*quarantine]
+
 	mu sync.Mutex
-	// crashes holds the record of each crash by subject and process, quarantined the group of
-	// each subject whose requests are refused.
-	crashes     map[string]map[string]crashRecord
-	quarantined map[string]*quarantine
-	successes   map[string]time.Time
-	count       int
+	// crashes holds the record of each crash by subject and process.
+	crashes   map[string]map[string]crashRecord
+	successes map[string]time.Time
+	count     int
 }
 
 // NewPartEvidence returns an empty set about parts of prompts.
@@ -132,10 +161,12 @@
 func NewRequestEvidence() *Evidence { return newEvidence(crashRecordTTL, false) }
 
 func newEvidence(period time.Duration, parts bool) *Evidence {
-	return &Evidence{
+	e := &Evidence{
 		period: period, parts: parts,
-		crashes: map[string]map[string]crashRecord{}, quarantined: map[string]*quarantine{}, successes: map[string]time.Time{},
+		crashes: map[string]map[string]crashRecord{}, successes: map[string]time.Time{},
 	}
+	e.quarantined.Store(&map[string]*quarantine{})
+	return e
 }
 
 // AddCrashes adds crashes and returns those that were new or ended requests that were not
@@ -144,6 +175,7 @@
 func (e *Evidence) AddCrashes(now time.Time, list []Crash) (added []Crash, refuting []Success) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	var fresh []Crash
 	for _, c := range list {
 		if now.Sub(c.At) >= crashRecordTTL {
 			continue
@@ -152,23 +184,14 @@
 			refuting = append(refuting, Success{Subject: c.Subject, At: at})
 			continue
 		}
-		if e.crashes[c.Subject] == nil {
-			e.crashes[c.Subject] = map[string]crashRecord{}
-		}
-		if c.Began.IsZero() {
-			c.Began = c.At
-		}
-		record, ok := e.crashes[c.Subject][c.Upstream]
-		if !ok {
-			record = crashRecord{began: c.Began, at: c.At, late: c.Late}
-			e.count++
+		if len(e.crashes[c.Subject]) == 0 {
+			fresh = append(fresh, c)
+		} else if e.merge(&c) {
+			added = append(added, c)
 		}
-		before := record
-		record.requests |= c.Requests
-		record.late = record.late && c.Late
-		e.crashes[c.Subject][c.Upstream] = record
-		if !ok || record != before {
-			c.Known = ok
+	}
+	for _, c := range limitCrashes(fresh) {
+		if e.merge(&c) {
 			added = append(added, c)
 		}
 	}
@@ -178,6 +201,38 @@
 	return added, refuting
 }
 
+// merge adds a crash and reports whether it changed anything.
+func (e *Evidence) merge(c *Crash) bool {
+	if e.crashes[c.Subject] == nil {
+		e.crashes[c.Subject] = map[string]crashRecord{}
+	}
+	if c.Began.IsZero() {
+		c.Began = c.At
+	}
+	record, known := e.crashes[c.Subject][c.Upstream]
+	if !known {
+		record = crashRecord{began: c.Began, at: c.At, late: c.Late}
+		e.count++
+	}
+	before := record
+	record.requests |= c.Requests
+	record.late = record.late && c.Late
+	e.crashes[c.Subject][c.Upstream] = record
+	c.Known = known
+	return !known || record != before
+}
+
+// limitCrashes returns at most maxCrashes of the crashes of subjects that had none, chosen by
+// chance, the late ones last.
+func limitCrashes(list []Crash) []Crash {
+	if len(list) <= maxCrashes {
+		return list
+	}
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	slices.SortStableFunc(list, func(a, b Crash) int { return compareLate(a.Late, b.Late) })
+	return list[:maxCrashes]
+}
+
 // Count returns the number of crashes of a subject and of the requests that they ended.
 func (e *Evidence) Count(subject string) (crashes, requests int) {
 	e.mu.Lock()
@@ -229,10 +284,12 @@
 // FindQuarantined reports whether a request that holds the subjects is refused, and returns
 // those of them for which it is.
 func (e *Evidence) FindQuarantined(now time.Time, subjects ...string) ([]string, bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
+	quarantined := *e.quarantined.Load()
+	if len(quarantined) == 0 {
+		return nil, false
+	}
 	for _, subject := range subjects {
-		q := e.quarantined[subject]
+		q := quarantined[subject]
 		if q == nil || now.Sub(q.last) >= e.period || q.subjects[0] != subject {
 			continue
 		}
@@ -245,9 +302,7 @@
 
 // Quarantine returns the group of a subject whose requests are refused.
 func (e *Evidence) Quarantine(now time.Time, subject string) ([]string, bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if q := e.quarantined[subject]; q != nil && now.Sub(q.last) < e.period {
+	if q := (*e.quarantined.Load())[subject]; q != nil && now.Sub(q.last) < e.period {
 		return q.subjects, true
 	}
 	return nil, false
@@ -288,13 +343,14 @@
 
 // evaluate decides anew which subjects are quarantined.
 func (e *Evidence) evaluate() {
-	clear(e.quarantined)
+	quarantined := map[string]*quarantine{}
 	for _, group := range findSuspects(e.crashes, e.parts) {
 		q := &quarantine{subjects: group, last: e.lastCrash(group[0])}
 		for _, subject := range group {
-			e.quarantined[subject] = q
+			quarantined[subject] = q
 		}
 	}
+	e.quarantined.Store(&quarantined)
 }
 
 // trim removes the crashes that are too old, and subjects above the bound: those with the
--- a/retry/suspect.go
+++ b/retry/suspect.go
@@ -49,6 +49,9 @@
 	// came to the threshold; zero if it did not.
 	count   float64
 	reached time.Time
+	// crowd is how often the requests with the subject at a crash must be halved to get one,
+	// rank the number of crashes that the subject explains, less what its crowd takes.
+	crowd, rank float64
 }
 
 // findSuspects returns the subjects that explain the crashes, as groups: requests that hold all
@@ -61,17 +64,14 @@
 //     apart. A request with one of them alone runs, and shows which one it is.
 //   - The crashes that come while requests with a part are refused say nothing about that part.
 func findSuspects(all crashesBySubject, parts bool) [][]string {
-	search := &suspectSearch{parts: parts, crashes: crashesBySubject{}, explained: map[string]bool{}}
 	enough := false
-	for subject, crashes := range all {
-		if len(crashes) >= minExplained {
-			search.crashes[subject] = crashes
-		}
+	for _, crashes := range all {
 		enough = enough || len(crashes) >= evidenceThreshold
 	}
 	if !enough {
 		return nil
 	}
+	search := newSuspectSearch(all, parts)
 	var groups [][]string
 	for {
 		worst, ok := search.findWorst()
@@ -82,9 +82,7 @@
 		if search.suffices(worst) {
 			groups = append(groups, group)
 		}
-		for process := range search.crashes[worst.subject] {
-			search.explained[process] = true
-		}
+		search.explain(worst.subject)
 	}
 }
 
@@ -92,19 +90,57 @@
 type suspectSearch struct {
 	parts   bool
 	crashes crashesBySubject
+	// subjects holds the subjects at the crash of each process, suspects what the crashes
+	// that are not explained say of each subject.
+	subjects map[string][]string
+	suspects map[string]suspect
 	// explained holds the processes whose crash a subject explains.
 	explained map[string]bool
 }
 
+func newSuspectSearch(all crashesBySubject, parts bool) *suspectSearch {
+	s := &suspectSearch{
+		parts: parts, crashes: crashesBySubject{}, subjects: map[string][]string{},
+		suspects: map[string]suspect{}, explained: map[string]bool{},
+	}
+	for subject, crashes := range all {
+		if len(crashes) < minExplained {
+			continue
+		}
+		s.crashes[subject] = crashes
+		s.suspects[subject] = s.weigh(subject, crashes)
+		for process := range crashes {
+			s.subjects[process] = append(s.subjects[process], subject)
+		}
+	}
+	return s
+}
+
+// explain marks the crashes of a subject as explained by it, and weighs the others that were there
+// again.
+func (s *suspectSearch) explain(subject string) {
+	others := map[string]bool{}
+	for process := range s.crashes[subject] {
+		if !s.explained[process] {
+			s.explained[process] = true
+			for _, other := range s.subjects[process] {
+				others[other] = true
+			}
+		}
+	}
+	for other := range others {
+		if x := s.weigh(other, s.crashes[other]); x.processes >= minExplained {
+			s.suspects[other] = x
+		} else {
+			delete(s.suspects, other)
+		}
+	}
+}
+
 // findWorst returns the subject that explains most, or false if none explains anything.
 func (s *suspectSearch) findWorst() (suspect, bool) {
 	var found ranking
-	for subject, crashes := range s.crashes {
-		x := s.weigh(subject, crashes)
-		if x.processes < minExplained {
-			delete(s.crashes, subject) // No crash becomes unexplained again.
-			continue
-		}
+	for _, x := range s.suspects {
 		found.add(x, s.suffices(x))
 	}
 	worst := found.best(s.parts)
@@ -122,9 +158,8 @@
 // fewer requests than that, and explain much of what it does.
 func (s *suspectSearch) refine(wide suspect) (suspect, bool) {
 	var found ranking
-	for subject, crashes := range s.crashes {
-		x := s.weigh(subject, crashes)
-		if x.processes < minExplained || float64(x.processes) < refinedCrashes*float64(wide.processes) || x.crowd() >= wide.crowd() {
+	for subject, x := range s.suspects {
+		if float64(x.processes) < refinedCrashes*float64(wide.processes) || x.crowd >= wide.crowd {
 			continue
 		}
 		ratio, enough := 1.0, s.suffices(x)
@@ -133,7 +168,7 @@
 		} else if x.processes < wide.processes {
 			ratio = narrower
 		}
-		if x.crowd()+math.Log2(ratio) <= wide.crowd() && s.isRefined(crashes, s.crashes[wide.subject]) {
+		if x.crowd+math.Log2(ratio) <= wide.crowd && s.isRefined(s.crashes[subject], s.crashes[wide.subject]) {
 			found.add(x, enough)
 		}
 	}
@@ -159,7 +194,7 @@
 // best returns the subject that explains most; a part that was refused before it did keeps its
 // place unless the other explains far more.
 func (r *ranking) best(parts bool) suspect {
-	if parts && r.first.subject != "" && r.worst.rank() <= r.first.rank()+refusedLead && r.worst.reached.Sub(r.first.reached) >= refusedAge {
+	if parts && r.first.subject != "" && r.worst.rank <= r.first.rank+refusedLead && r.worst.reached.Sub(r.first.reached) >= refusedAge {
 		return r.first
 	}
 	return r.worst
@@ -179,7 +214,8 @@
 // findGroup returns the parts that were in the same requests as the worst one, sorted.
 func (s *suspectSearch) findGroup(worst suspect) []string {
 	group := []string{worst.subject}
-	for subject, crashes := range s.crashes {
+	for subject := range s.suspects {
+		crashes := s.crashes[subject]
 		if s.parts && subject != worst.subject && s.isRefined(crashes, s.crashes[worst.subject]) && s.isRefined(s.crashes[worst.subject], crashes) {
 			group = append(group, subject)
 		}
@@ -205,6 +241,10 @@
 	} else {
 		x.count = float64(countRequestCrashes(records))
 	}
+	if x.processes > 0 {
+		x.crowd = math.Log2(float64(x.requests) / float64(x.processes))
+		x.rank = float64(x.processes) - crowdRank*x.crowd
+	}
 	return x
 }
 
@@ -246,28 +286,22 @@
 // suffices reports whether requests with the subject are to be refused.
 func (s *suspectSearch) suffices(x suspect) bool {
 	if s.parts {
-		return x.count >= partThreshold && x.count-crowdCost*x.crowd() >= minWeight
+		return x.count >= partThreshold && x.count-crowdCost*x.crowd >= minWeight
 	}
 	return x.count >= evidenceThreshold
 }
 
-// crowd returns how often the requests with the subject at a crash must be halved to get one.
-func (x suspect) crowd() float64 { return math.Log2(float64(x.requests) / float64(x.processes)) }
-
 // isWorse reports whether a subject explains more than another one.
 func (x suspect) isWorse(other suspect) bool {
 	if other.subject == "" {
 		return true
 	}
 	return cmp.Or(
-		cmp.Compare(x.rank(), other.rank()),
+		cmp.Compare(x.rank, other.rank),
 		cmp.Compare(x.count, other.count), cmp.Compare(other.subject, x.subject),
 	) > 0
 }
 
-// rank is the number of crashes that a subject explains, less what its crowd takes.
-func (x suspect) rank() float64 { return float64(x.processes) - crowdRank*x.crowd() }
-
 // isBefore reports whether the crashes sufficed for a subject before they did for another one.
 func (x suspect) isBefore(other suspect) bool {
 	if other.subject == "" {
--- a/retry/suspect_test.go
+++ b/retry/suspect_test.go
@@ -172,3 +172,89 @@
 		})
 	}
 }
+
+// BenchmarkFullEvidence measures the time to add one more crash where as many are stored as the
+// bound allows: of parts at the same crashes, and of pairs of parts at crashes of their own.
+func BenchmarkFullEvidence(b *testing.B) {
+	at := func(i int) time.Time { return now.Add(time.Duration(i) * time.Second / 4) }
+	tests := map[string]func(e *Evidence){
+		"same": func(e *Evidence) {
+			for i := range 8 {
+				var aborted []Abort
+				for part := range maxCrashes / 8 {
+					aborted = append(aborted, Abort{At: at(i), Request: uint64(part), Parts: []string{fmt.Sprint(part)}})
+				}
+				e.AddCrashes(at(i), CrashesOfParts(fmt.Sprint(i), aborted))
+			}
+		},
+		"pairs": func(e *Evidence) {
+			for i := range maxCrashes / 2 {
+				e.AddCrashes(at(i), CrashesOfParts(fmt.Sprint(i), []Abort{{At: at(i), Request: uint64(i), Parts: []string{fmt.Sprint(i / 4), fmt.Sprint("b", i/2)}}}))
+			}
+		},
+	}
+	for name, fill := range tests {
+		b.Run(name, func(b *testing.B) {
+			e := NewPartEvidence()
+			fill(e)
+			end := at(maxCrashes)
+			for i := 0; b.Loop(); i++ {
+				e.AddCrashes(end, []Crash{{Subject: "one more", Upstream: fmt.Sprint("more", i), At: end, Requests: 1}})
+			}
+		})
+	}
+}
+
+// TestManyParts checks that a crash with very many parts in flight takes bounded work, and that
+// requests do not wait for it.
+func TestManyParts(t *testing.T) {
+	e := NewPartEvidence()
+	for i := range 3 {
+		at := now.Add(time.Duration(i) * time.Second)
+		e.AddCrashes(at, CrashesOfParts(fmt.Sprint(i), []Abort{{At: at, Request: 1, Parts: []string{"bad"}}}))
+	}
+	at := now.Add(3 * time.Second)
+	var aborted []Abort
+	for request := range uint64(64) {
+		x := Abort{At: at, Request: request}
+		if request > 0 {
+			x.Responded = now // Long before the crash.
+		}
+		for i := range 1000 {
+			x.Parts = append(x.Parts, fmt.Sprint(request, "-", i))
+		}
+		aborted = append(aborted, x)
+	}
+	crashes := CrashesOfParts("3", aborted)
+	if got := len(crashes); got != maxCrashes {
+		t.Errorf("got crashes of %d parts, want %d", got, maxCrashes)
+	}
+	early := 0
+	for _, c := range crashes {
+		if !c.Late {
+			early++
+		}
+	}
+	if early != 1000 {
+		t.Errorf("got %d parts of the request that had not begun, want all 1000", early)
+	}
+	e.AddCrashes(at, crashes)
+	if got := len(e.Crashes(at)); got > maxCrashes {
+		t.Errorf("got %d records, want at most %d", got, maxCrashes)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	found := make(chan bool)
+	go func() {
+		_, got := e.FindQuarantined(at, "bad")
+		found <- got
+	}()
+	select {
+	case got := <-found:
+		if !got {
+			t.Error("got the deadly part served, want it refused")
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("got a request waiting while crashes are being added, want none")
+	}
+}
