--- a/direct/crash.go
+++ b/direct/crash.go
@@ -113,6 +113,11 @@
 		return
 	}
 	added, refuting := e.partEvidence.AddCrashes(now, crashes)
+	if own {
+		for _, c := range e.partEvidence.EarlierCrashes(added) {
+			e.gossiper.BroadcastCrash(encodeCrash(now, c, false))
+		}
+	}
 	for _, c := range added {
 		if own || !c.Known {
 			e.gossiper.BroadcastCrash(encodeCrash(now, c, false))
--- a/emul/part.go
+++ b/emul/part.go
@@ -273,7 +273,9 @@
 		return
 	}
 	added, refuting := s.entries[entry].AddCrashes(s.now, list)
-	if !own {
+	if own {
+		added = append(s.entries[entry].EarlierCrashes(added), added...)
+	} else {
 		added = slices.DeleteFunc(added, func(c retry.Crash) bool { return c.Known })
 	}
 	if len(added) > 0 {
--- a/retry/evidence.go
+++ b/retry/evidence.go
@@ -31,7 +31,9 @@
 	partQuarantine = 2 * time.Minute
 	// maxCrashes bounds the crashes that are stored, maxSuccesses the subjects whose last
 	// success is.
-	maxCrashes   = 1024
+	maxCrashes = 1024
+	// maxRetold bounds the earlier crashes that are told again with a new one.
+	maxRetold    = 16
 	maxSuccesses = 8192
 )
 
@@ -122,6 +124,11 @@
 	late      bool
 }
 
+// crash returns the record as a crash of a process.
+func (r crashRecord) crash(subject, process string) Crash {
+	return Crash{Subject: subject, Upstream: process, Began: r.began, At: r.at, Requests: r.requests, Late: r.late}
+}
+
 // quarantine is a group of subjects that the crashes do not tell apart: requests that hold
 // all of them are refused.
 type quarantine struct {
@@ -170,8 +177,8 @@
 }
 
 // AddCrashes adds crashes and returns those that were new or ended requests that were not
-// known, most crashes of one subject first, and the successes that refute others. Both are
-// for the peers.
+// known, what peers need most first, and the successes that refute others. Both are for the
+// peers.
 func (e *Evidence) AddCrashes(now time.Time, list []Crash) (added []Crash, refuting []Success) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -195,12 +202,37 @@
 			added = append(added, c)
 		}
 	}
-	slices.SortStableFunc(added, func(a, b Crash) int { return cmp.Compare(len(e.crashes[b.Subject]), len(e.crashes[a.Subject])) })
 	e.trim(now)
 	e.evaluate()
+	slices.SortStableFunc(added, func(a, b Crash) int {
+		return cmp.Or(
+			cmp.Compare(len(e.crashes[b.Subject]), len(e.crashes[a.Subject])), compareLate(a.Late, b.Late),
+			cmp.Compare(a.Requests.size(), b.Requests.size()),
+		)
+	})
 	return added, refuting
 }
 
+// EarlierCrashes returns the other crashes of those subjects of new ones that are refused: peers
+// may have missed them.
+func (e *Evidence) EarlierCrashes(added []Crash) []Crash {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var list []Crash
+	quarantined := *e.quarantined.Load()
+	for _, c := range added {
+		if quarantined[c.Subject] == nil || c.Known {
+			continue
+		}
+		for process, r := range e.crashes[c.Subject] {
+			if process != c.Upstream && len(list) < maxRetold {
+				list = append(list, r.crash(c.Subject, process))
+			}
+		}
+	}
+	return list
+}
+
 // merge adds a crash and reports whether it changed anything.
 func (e *Evidence) merge(c *Crash) bool {
 	if e.crashes[c.Subject] == nil {
@@ -325,7 +357,7 @@
 	var list []Crash
 	for subject, crashes := range e.crashes {
 		for upstream, t := range crashes {
-			list = append(list, Crash{Subject: subject, Upstream: upstream, Began: t.began, At: t.at, Requests: t.requests, Late: t.late})
+			list = append(list, t.crash(subject, upstream))
 		}
 	}
 	return list
--- a/retry/suspect_test.go
+++ b/retry/suspect_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -258,3 +259,35 @@
 		t.Error("got a request waiting while crashes are being added, want none")
 	}
 }
+
+// TestCrashesTold checks what an entry tells its peers of a crash: what they need most comes
+// first, as the message has a bound, and a peer that missed the crashes before learns of them
+// with the one that decides.
+func TestCrashesTold(t *testing.T) {
+	a, b := NewPartEvidence(), NewPartEvidence()
+	for i := range 3 {
+		at := now.Add(time.Duration(i) * time.Second)
+		var aborted []Abort
+		for request := range uint64(30) {
+			aborted = append(aborted, Abort{At: at, Responded: at.Add(-3 * time.Second), Request: request, Parts: []string{"shared", fmt.Sprint("own", i, "-", request)}})
+		}
+		aborted = append(aborted, Abort{At: at, Request: 50, Parts: []string{"shared", "bad"}})
+		added, _ := a.AddCrashes(at, CrashesOfParts(fmt.Sprint(i), aborted))
+		var first []string
+		for _, c := range added[:2] {
+			first = append(first, c.Subject)
+		}
+		if !slices.Contains(first, "bad") {
+			t.Errorf("crash %d: got %v told first, want the part of the request that had not begun among them", i, first)
+		}
+		if i == 2 {
+			b.AddCrashes(at, append(a.EarlierCrashes(added), added[:2]...))
+		}
+	}
+	if _, got := b.FindQuarantined(now, "shared", "bad"); !got {
+		t.Error("got a deadly request served by a peer that missed two crashes, want it refused")
+	}
+	if _, got := b.FindQuarantined(now, "shared", "own"); got {
+		t.Error("got a sound request refused, want it served")
+	}
+}
