retry, direct: a bound on the lines about one crash; a name

Cause: a crash may bring 1,024 parts, and each part with three crashes got a line of the log, which is to stay bounded under load.

No test of its own: TestSuspects and TestCrashesTold run the renamed order.

--- a/direct/crash.go
+++ b/direct/crash.go
@@ -19,8 +19,9 @@
 	// quarantineRetryAfter is the Retry-After of a request that crashed upstreams.
 	quarantineRetryAfter = 10 * time.Second
 	// minLoggedCrashes is the number of crashes from which a part that is not refused is
-	// logged.
+	// logged, maxLoggedParts the number of parts that are logged for one crash.
 	minLoggedCrashes = 3
+	maxLoggedParts   = 8
 )
 
 // computeFingerprint returns the hash of the method, target, team and body, by
@@ -118,10 +119,13 @@
 			e.gossiper.BroadcastCrash(encodeCrash(now, c, false))
 		}
 	}
-	for _, c := range added {
+	for i, c := range added {
 		if own || !c.Known {
 			e.gossiper.BroadcastCrash(encodeCrash(now, c, false))
 		}
+		if i >= maxLoggedParts {
+			continue
+		}
 		group, ok := e.partEvidence.Quarantine(now, c.Subject)
 		n, requests := e.partEvidence.Count(c.Subject)
 		logger := e.log.With("part", c.Subject).With("crash", c.Upstream).With("crashes", n).With("requests", requests)
--- a/retry/evidence.go
+++ b/retry/evidence.go
@@ -399,7 +399,7 @@
 	if e.count <= maxCrashes {
 		return
 	}
-	for _, subject := range e.leastSuspect() {
+	for _, subject := range e.sortByEvidence() {
 		e.count -= len(e.crashes[subject])
 		delete(e.crashes, subject)
 		if e.count <= maxCrashes {
@@ -417,9 +417,9 @@
 	}
 }
 
-// leastSuspect returns the subjects in the order of their crashes, fewest first, and of these
-// the one whose last crash is the longest ago.
-func (e *Evidence) leastSuspect() []string {
+// sortByEvidence returns the subjects in the order of their crashes, fewest first, and of those
+// with as many the ones first whose last crash is the longest ago.
+func (e *Evidence) sortByEvidence() []string {
 	last := make(map[string]time.Time, len(e.crashes))
 	for subject := range e.crashes {
 		last[subject] = e.lastCrash(subject)
