--- a/cmds/direct.go
+++ b/cmds/direct.go
@@ -45,23 +45,26 @@
 	if err := e.Start(); err != nil {
 		return s.fail(err, ExitFailed)
 	}
-	sig := watchSettings(e, log, settings, hup, stop)
-	log.Infof("stopping after %v", sig)
+	settings, sig := watchSettings(log, settings, hup, stop, func(next *setup.DirectSettings) { e.Reload(time.Now(), next) })
+	log.With("grace", settings.StopTimeout.Milliseconds()).Infof("stopping after %v", sig)
 	e.Drain(settings.StopTimeout)
 	e.Close()
 	log.Infof("stopped")
 	return ExitOK
 }
 
-// watchSettings reloads changed settings until a stop signal arrives and returns
-// that signal. An invalid file leaves the settings unchanged.
-func watchSettings(e *direct.Entry, log *meter.Logger, current *setup.DirectSettings, hup, stop <-chan os.Signal) os.Signal {
+// watchSettings reloads changed settings until a stop signal arrives, and once more then, as the
+// stop follows them. It returns the settings in force and that signal. An invalid file leaves the
+// settings unchanged.
+func watchSettings(
+	log *meter.Logger, current *setup.DirectSettings, hup, stop <-chan os.Signal, reload func(*setup.DirectSettings),
+) (*setup.DirectSettings, os.Signal) {
 	ticker := time.NewTicker(settingsInterval)
 	defer ticker.Stop()
 	for {
+		var sig os.Signal
 		select {
-		case sig := <-stop:
-			return sig
+		case sig = <-stop:
 		case <-hup:
 			log.Infof("reloading settings after SIGHUP")
 		case <-ticker.C:
@@ -69,11 +72,12 @@
 		next, err := platform.LoadSettings()
 		if err != nil {
 			log.Warnf("failed to reload settings; keeping the previous ones: %v", err)
-			continue
-		}
-		if !reflect.DeepEqual(current, next) {
-			e.Reload(time.Now(), next)
+		} else if !reflect.DeepEqual(current, next) {
+			reload(next)
 			current = next
 		}
+		if sig != nil {
+			return current, sig
+		}
 	}
 }
--- a/cmds/direct_test.go
+++ b/cmds/direct_test.go
@@ -2,18 +2,22 @@
 
 import (
 	"bytes"
+	"io"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"google.golang.org/protobuf/encoding/protojson"
 
+	"cactustide/meter"
 	"cactustide/platform"
 	"cactustide/platform/stand"
+	"cactustide/setup"
 	"cactustide/store"
 	"cactustide/wire"
 )
@@ -128,3 +132,71 @@
 		})
 	}
 }
+
+// TestReloadBeforeStop guards against a stop that uses the grace period of the start although the
+// settings have changed since, also where the stop follows the change at once.
+func TestReloadBeforeStop(t *testing.T) {
+	boot := func(grace string) string {
+		return `{"node-name":"n","ip":"10.0.0.1","zone":"z","listen":{"frontend":"10.0.0.1:1","readiness":"10.0.0.1:2"},"internal-ports":[7],` +
+			`"limits":{"memory-mb":9,"max-fds":900},"bounds":{"grace-s":` + grace + `,"budget-window-s":10},"platform":{"address":"10.0.0.2:3"}}`
+	}
+	tests := map[string]struct {
+		// changes are the contents of the file after the start; a SIGHUP follows each if hup is set.
+		changes []string
+		hup     bool
+		want    time.Duration
+		reloads int
+	}{
+		"unchanged":                 {nil, true, 4 * time.Second, 0},
+		"longer, SIGHUP":            {[]string{boot("8")}, true, 8 * time.Second, 1},
+		"longer, no signal":         {[]string{boot("8")}, false, 8 * time.Second, 1},
+		"shorter, SIGHUP":           {[]string{boot("2")}, true, 2 * time.Second, 1},
+		"two changes":               {[]string{boot("8"), boot("6")}, true, 6 * time.Second, 2},
+		"invalid":                   {[]string{boot("0")}, true, 4 * time.Second, 0},
+		"invalid after a valid one": {[]string{boot("8"), "{"}, true, 8 * time.Second, 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			file := filepath.Join(t.TempDir(), "boot.json")
+			t.Setenv(platform.EnvBootFile, file)
+			write := func(text string) {
+				if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+					t.Fatal(err)
+				}
+			}
+			write(boot("4"))
+			settings, err := platform.LoadSettings()
+			if err != nil {
+				t.Fatal(err)
+			}
+			hup, stop := make(chan os.Signal), make(chan os.Signal, 1)
+			reloaded := make(chan time.Duration, len(test.changes)+1)
+			type result struct {
+				grace time.Duration
+				sig   os.Signal
+			}
+			done := make(chan result)
+			go func() {
+				got, sig := watchSettings(meter.NewLogger(io.Discard, "info", "json", "direct"), settings, hup, stop, func(next *setup.DirectSettings) {
+					reloaded <- next.StopTimeout
+				})
+				done <- result{got.StopTimeout, sig}
+			}()
+			for _, text := range test.changes {
+				write(text)
+				if test.hup {
+					hup <- syscall.SIGHUP
+					hup <- syscall.SIGHUP // It has read the file by then.
+				}
+			}
+			stop <- syscall.SIGTERM
+			got := <-done
+			if got.grace != test.want || got.sig != syscall.SIGTERM {
+				t.Errorf("got a stop by %v with a grace of %v, want SIGTERM and %v", got.sig, got.grace, test.want)
+			}
+			if n := len(reloaded); n != test.reloads {
+				t.Errorf("got %d reloads, want %d", n, test.reloads)
+			}
+		})
+	}
+}
