--- a/conn/pool.go
+++ b/conn/pool.go
@@ -63,10 +63,14 @@
 	Reader *bufio.Reader
 	// Reused reports whether the connection has carried a request before.
 	Reused bool
-	// readLeft bounds the bytes that are still read if readLimited.
+	// readLeft bounds what is still read of a head if readLimited, bytes and lineBytes for each
+	// line. headEnded is set after the empty line at its end, lineEmpty if the line that is being
+	// read has no byte yet.
 	readLeft    int
 	readLimited bool
-	// freeLeft bounds the bytes that are read before reserve is called, if it is not nil.
+	headEnded   bool
+	lineEmpty   bool
+	// freeLeft bounds what is read of it before reserve is called, if that is not nil.
 	freeLeft  int
 	reserve   func() bool
 	address   string
@@ -137,12 +141,18 @@
 // ErrReadMemory is returned by reads for which there is no memory.
 var ErrReadMemory = errs.New("no memory for more bytes")
 
-// LimitRead makes reads fail after n more bytes from the network. It keeps a peer that
-// sends without end from filling the memory of a parser without a limit of its own. Before
-// more than free bytes are read, reserve is asked for memory once; reads fail if there is none.
+// lineBytes is what a line of a head takes beyond its own bytes: a parser stores each field in a
+// map, with a list of its values.
+const lineBytes = 128
+
+// LimitRead limits the head that is read next to n bytes, where each line counts for lineBytes
+// more; then reads fail. It keeps a peer that sends without end from filling the memory of a
+// parser without a limit of its own. Before more than free bytes of the n are passed on, reserve is
+// asked for memory once; reads fail if there is none.
 func (c *Conn) LimitRead(n, free int, reserve func() bool) {
 	c.readLeft, c.readLimited = n, true
 	c.freeLeft, c.reserve = free, reserve
+	c.headEnded, c.lineEmpty = false, false
 }
 
 // UnlimitRead removes the limit.
@@ -156,18 +166,38 @@
 	if c.readLeft <= 0 {
 		return 0, ErrReadLimit
 	}
+	n, err := c.Conn.Read(p[:min(len(p), c.readLeft)])
+	used := n + lineBytes*c.countLines(p[:n])
+	c.readLeft -= used
+	c.freeLeft -= used
 	if c.freeLeft <= 0 && c.reserve != nil {
 		if !c.reserve() {
 			return 0, ErrReadMemory
 		}
 		c.reserve = nil
 	}
-	n, err := c.Conn.Read(p[:min(len(p), c.readLeft)])
-	c.readLeft -= n
-	c.freeLeft -= n
 	return n, err
 }
 
+// countLines counts the lines that end in the next bytes of a head. What follows the empty line
+// at its end is not counted.
+func (c *Conn) countLines(p []byte) int {
+	count := 0
+	for _, b := range p {
+		switch {
+		case c.headEnded:
+			return count
+		case b == '\n':
+			count++
+			c.headEnded = c.lineEmpty
+			c.lineEmpty = true
+		case b != '\r':
+			c.lineEmpty = false
+		}
+	}
+	return count
+}
+
 func (p *Pool) popIdle(address string) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/conn/pool_test.go
+++ b/conn/pool_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 )
@@ -164,3 +165,49 @@
 		t.Error("got no error on the connection that was replaced, want it closed")
 	}
 }
+
+// TestLimitRead checks what a head may be, by its bytes and its lines, and that lines after its end
+// do not count.
+func TestLimitRead(t *testing.T) {
+	const limit, free = 4096, 1024
+	tests := map[string]struct {
+		sent     string
+		reserved bool
+		err      error
+	}{
+		"small":                 {"HTTP/1.1 200 OK\r\na: b\r\n\r\n", false, nil},
+		"long line":             {strings.Repeat("x", 2000), true, nil},
+		"longer line":           {strings.Repeat("x", limit+1), true, ErrReadLimit},
+		"some short lines":      {strings.Repeat("a:\n", 6), false, nil},
+		"more short lines":      {strings.Repeat("a:\n", 12), true, nil},
+		"many short lines":      {strings.Repeat("a:\n", 40), true, ErrReadLimit},
+		"lines after the end":   {"HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("\n", 400), false, nil},
+		"empty line at the end": {"HTTP/1.1 200 OK\n\n" + strings.Repeat("a\n", 300), false, nil},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			address, accepted := listen(t)
+			p := NewPool()
+			defer p.Close()
+			c, err := p.Open(address, 1)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer p.Discard(c)
+			reserved := false
+			c.LimitRead(limit, free, func() bool {
+				reserved = true
+				return true
+			})
+			u := <-accepted
+			if _, err := io.WriteString(u, test.sent); err != nil {
+				t.Fatal(err)
+			}
+			_ = u.Close()
+			_, err = io.Copy(io.Discard, c.Reader)
+			if !errors.Is(err, test.err) || reserved != test.reserved {
+				t.Errorf("got %v, memory reserved %v, want %v and %v", err, reserved, test.err, test.reserved)
+			}
+		})
+	}
+}
--- a/direct/endless_test.go
+++ b/direct/endless_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -99,14 +100,15 @@
 	tests := map[string]struct {
 		begin string
 		// grown is sent after begin and just below the bound of a single one; no more follows.
-		grown int
+		grown string
 	}{
-		"events": {begin: rawStream + rawEvent + "id: 2\ndata: ", grown: 1000 << 10},
-		"heads":  {begin: rawHead + "X-Long: ", grown: 250 << 10},
+		"events":               {begin: rawStream + rawEvent + "id: 2\ndata: ", grown: strings.Repeat("x", 1000<<10)},
+		"heads":                {begin: rawHead + "X-Long: ", grown: strings.Repeat("x", 250<<10)},
+		"heads in short lines": {begin: rawHead, grown: shortLines(250 << 10)},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			small := heapOfUnfinished(t, memory, requests, test.begin, 1)
+			small := heapOfUnfinished(t, memory, requests, test.begin, "x")
 			large := heapOfUnfinished(t, memory, requests, test.begin, test.grown)
 			if got, want := large-small, int64(responses+requests*freeBytes); got > want {
 				t.Errorf("got %d MB of live heap more than with small responses, want at most %d MB", got>>20, want>>20)
@@ -115,12 +117,20 @@
 	}
 }
 
+// shortLines returns fields of a head with names that differ and no values.
+func shortLines(size int) string {
+	var b strings.Builder
+	for n := int64(0); b.Len() < size; n++ {
+		b.WriteString(strconv.FormatInt(n, 36) + ":\n")
+	}
+	return b.String()
+}
+
 // heapOfUnfinished returns the growth of the live heap while responses are not finished of which
-// begin and a number of further bytes have arrived. Requests beside them must be answered.
-func heapOfUnfinished(t *testing.T, memory int64, requests int, begin string, grown int) int64 {
+// begin and the rest have arrived. Requests beside them must be answered.
+func heapOfUnfinished(t *testing.T, memory int64, requests int, begin, rest string) int64 {
 	t.Helper()
 	s := newStackOf(t, stackOptions{entries: 1, memoryBytes: memory})
-	rest := strings.Repeat("x", grown)
 	u := newScriptedUpstream(t, func(c net.Conn, q *http.Request) bool {
 		id := requestID(q)
 		if !strings.HasPrefix(q.URL.Path, "/chat") {
