--- a/conn/pool.go
+++ b/conn/pool.go
@@ -4,7 +4,10 @@
 
 import (
 	"bufio"
+	"errors"
+	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -23,6 +26,8 @@
 	KindFull Kind = "full"
 	// KindDial: the connection could not be opened; nothing was sent.
 	KindDial Kind = "dial"
+	// KindBroken: the connection failed under a write, so that its end is none in order.
+	KindBroken Kind = "broken"
 )
 
 // Error is the type of all errors of this package.
@@ -63,6 +68,9 @@
 	Reader *bufio.Reader
 	// Reused reports whether the connection has carried a request before.
 	Reused bool
+	// writing is held during a write and guards writeErr, the error of the first one that failed.
+	writing  sync.Mutex
+	writeErr error
 	// readLeft bounds what is still read of a head if readLimited, bytes and lineBytes for each
 	// line. headEnded is set after the empty line at its end, lineEmpty if the line that is being
 	// read has no byte yet.
@@ -158,15 +166,27 @@
 // UnlimitRead removes the limit.
 func (c *Conn) UnlimitRead() { c.readLimited, c.reserve = false, nil }
 
-// Read reads from the connection, within the limit.
+// Write writes to the connection. It may be called while another goroutine reads.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(p)
+	if err != nil && c.writeErr == nil {
+		c.writeErr = err
+	}
+	return n, err
+}
+
+// Read reads from the connection, within the limit. It returns io.EOF only if the peer ended the
+// connection in order, and an error of kind KindBroken if it failed under a write.
 func (c *Conn) Read(p []byte) (int, error) {
 	if !c.readLimited {
-		return c.Conn.Read(p)
+		return c.readChecked(p)
 	}
 	if c.readLeft <= 0 {
 		return 0, ErrReadLimit
 	}
-	n, err := c.Conn.Read(p[:min(len(p), c.readLeft)])
+	n, err := c.readChecked(p[:min(len(p), c.readLeft)])
 	used := n + lineBytes*c.countLines(p[:n])
 	c.readLeft -= used
 	c.freeLeft -= used
@@ -179,6 +199,33 @@
 	return n, err
 }
 
+// readChecked reads from the connection. The system reports the failure of a connection once: if a
+// write gets the report, reads see the same end as after a peer that closed the connection in order.
+func (c *Conn) readChecked(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	// A connection whose end was read is not used again, so that a write in progress can be ended. Its
+	// error is known afterwards.
+	if err := c.SetWriteDeadline(time.Unix(1, 0)); err != nil {
+		return n, &Error{Op: "read", Kind: KindBroken, Err: err}
+	}
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if failedUnderWrite(c.writeErr) {
+		return n, &Error{Op: "read", Kind: KindBroken, Err: c.writeErr}
+	}
+	return n, io.EOF
+}
+
+// failedUnderWrite reports whether the first failed write shows that the connection failed. EPIPE
+// does not: the peer had ended its side in order before it reset the connection, or a read has
+// got the report.
+func failedUnderWrite(err error) bool {
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, syscall.EPIPE)
+}
+
 // countLines counts the lines that end in the next bytes of a head. What follows the empty line
 // at its end is not counted.
 func (c *Conn) countLines(p []byte) int {
--- a/conn/pool_test.go
+++ b/conn/pool_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -211,3 +212,126 @@
 		})
 	}
 }
+
+// TestReadAfterFailedWrite checks what a read returns at the end of a connection whose write has
+// failed before: the system reports a reset once, and the write has got the report.
+func TestReadAfterFailedWrite(t *testing.T) {
+	tests := map[string]struct {
+		// end ends the connection on the side of the upstream.
+		end func(c *net.TCPConn)
+		// want is the error of the read after the bytes that arrived; nil means an end in order.
+		want error
+	}{
+		"reset":                    {func(c *net.TCPConn) { _ = c.SetLinger(0) }, syscall.ECONNRESET},
+		"closed with unread bytes": {func(*net.TCPConn) {}, syscall.ECONNRESET},
+		"ended in order, then reset": {func(c *net.TCPConn) {
+			_ = c.CloseWrite()
+			time.Sleep(20 * time.Millisecond)
+			_ = c.SetLinger(0)
+		}, nil},
+		"ended in order, then closed with unread bytes": {func(c *net.TCPConn) {
+			_ = c.CloseWrite()
+			time.Sleep(20 * time.Millisecond)
+		}, nil},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			address, accepted := listen(t)
+			p := NewPool()
+			defer p.Close()
+			c, err := p.Open(address, 1)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer p.Discard(c)
+			server := (<-accepted).(*net.TCPConn)
+			if _, err := io.WriteString(c, "request"); err != nil {
+				t.Fatal(err)
+			}
+			_, _ = io.WriteString(server, "part")
+			time.Sleep(20 * time.Millisecond)
+			test.end(server)
+			_ = server.Close()
+			time.Sleep(20 * time.Millisecond)
+			for end := time.Now().Add(2 * time.Second); err == nil && time.Now().Before(end); {
+				_, err = io.WriteString(c, "rest of the request")
+			}
+			if err == nil {
+				t.Fatal("got no error of a write, want one")
+			}
+			body, got := io.ReadAll(c.Reader)
+			if string(body) != "part" || !errors.Is(got, test.want) {
+				t.Errorf("got %q and error %v after a write failed with %v, want what arrived and error %v", body, got, err, test.want)
+			}
+		})
+	}
+}
+
+// TestReadDuringWrite checks the end of a connection that is reset while a large request is
+// being written: whichever side gets the error, a read never reports an end in order.
+func TestReadDuringWrite(t *testing.T) {
+	const attempts = 200
+	address, accepted := listen(t)
+	p := NewPool()
+	defer p.Close()
+	request := make([]byte, 1<<20)
+	ended := 0
+	for range attempts {
+		c, err := p.Open(address, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		server := (<-accepted).(*net.TCPConn)
+		written := make(chan error, 1)
+		go func() {
+			_, err := c.Write(request)
+			written <- err
+		}()
+		_, _ = io.ReadFull(server, make([]byte, 100))
+		_, _ = io.WriteString(server, "part")
+		_ = server.SetLinger(0)
+		_ = server.Close()
+		if _, err := io.ReadAll(c.Reader); err == nil {
+			ended++
+		}
+		p.Discard(c)
+		<-written
+	}
+	if ended > 0 {
+		t.Errorf("got an end in order %d times of %d, want an error", ended, attempts)
+	}
+}
+
+// TestReadEndDuringWrite checks that the end of a response in order ends the read while the
+// peer does not read the request, and that the write does not go on.
+func TestReadEndDuringWrite(t *testing.T) {
+	address, accepted := listen(t)
+	p := NewPool()
+	defer p.Close()
+	c, err := p.Open(address, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Discard(c)
+	server := (<-accepted).(*net.TCPConn)
+	defer func() { _ = server.Close() }()
+	written := make(chan error, 1)
+	go func() {
+		_, err := c.Write(make([]byte, 64<<20))
+		written <- err
+	}()
+	_, _ = io.WriteString(server, "whole")
+	_ = server.CloseWrite()
+	body, err := io.ReadAll(c.Reader)
+	if string(body) != "whole" || err != nil {
+		t.Errorf("got %q and error %v, want the whole response", body, err)
+	}
+	select {
+	case err := <-written:
+		if err == nil {
+			t.Error("got the whole request written, want an error")
+		}
+	case <-time.After(ackTimeout / 2): // Later it would fail on its own.
+		t.Error("the write still blocks, want it ended with the read")
+	}
+}
--- a/direct/stack_test.go
+++ b/direct/stack_test.go
@@ -50,6 +50,8 @@
 	memoryBytes int64
 	// maxSockets is the number of connections of an entry; 0 means 1,000.
 	maxSockets int
+	// log is where the entries log to; nil means testOutput.
+	log io.Writer
 }
 
 // testEntry is an entry whose calls to the store can be made to fail.
@@ -131,7 +133,11 @@
 	s.t.Cleanup(m.Close)
 	e := &testEntry{settings: settings}
 	client := e.cuttableStore(platform.NewStoreClient(s.store.Address, m.CountPlatformCall), s.options.fullWait)
-	log := meter.NewLogger(testOutput(), "info", "json", "direct")
+	output := s.options.log
+	if output == nil {
+		output = testOutput()
+	}
+	log := meter.NewLogger(output, "info", "json", "direct")
 	e.Entry = direct.New(settings, platform.NewHeaderCodec(), platform.NewItemCodec(), client, log, m)
 	if err := e.Start(); err != nil {
 		s.t.Fatal(err)
