head, dial, direct: a status that no response has is refused (MIXED)

Callers got a response with the status 000 as an answer: as 200 from the agent, and from direct what stood behind it.

Cause: http.ReadResponse takes any three digits and direct skipped all below 200 as informational; fasthttp reports the status 0 as 200, so that its callers cannot tell. The knowledge is lost in the libraries.

Ruled out: the body and its framing.

Fix: package head has the rule (RFC 9110, section 15). direct applies it to the parsed head; dial.Conn checks the bytes before fasthttp reads them, for the agent, health checks, calls to agents, both stores' clients and ctl. The log names the status; the agent logs why an upstream became unhealthy.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -122,7 +122,11 @@
 		cancel()
 		return err
 	}
-	a.healthy.Store(a.upstream.isHealthy())
+	err := a.upstream.checkHealth()
+	a.healthy.Store(err == nil)
+	if err != nil {
+		a.log.Warnf("upstream is not healthy: %v", err)
+	}
 	a.group.Go(func() error { return a.queue.expireLoop(ctx) })
 	a.group.Go(func() error { return every(ctx, healthInterval, a.checkHealth) })
 	a.group.Go(func() error { return a.acquireIncarnation(ctx) })
@@ -208,9 +212,13 @@
 // checkHealth checks the upstream. While it is unhealthy, the idle connections are
 // closed and the queued requests refused, so that entries send them elsewhere.
 func (a *Agent) checkHealth() {
-	healthy := a.upstream.isHealthy()
-	if a.healthy.Swap(healthy) != healthy {
-		a.log.Warnf("upstream health changed, healthy: %v", healthy)
+	err := a.upstream.checkHealth()
+	healthy := err == nil
+	switch changed := a.healthy.Swap(healthy) != healthy; {
+	case changed && healthy:
+		a.log.Warnf("upstream health changed, healthy: true")
+	case changed:
+		a.log.Warnf("upstream health changed, healthy: false: %v", err)
 	}
 	if !healthy {
 		a.upstream.closeIdle()
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"github.com/zeebo/errs"
 
 	"cactustide/config"
 	"cactustide/dial"
@@ -94,18 +95,22 @@
 	return true
 }
 
-// isHealthy reports whether the upstream's health check answers with status 200.
-func (u *upstream) isHealthy() bool {
+// checkHealth returns nil if the upstream's health check answers with status 200, and otherwise why
+// not.
+func (u *upstream) checkHealth() error {
 	req := fasthttp.AcquireRequest()
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI("http://" + u.Address + pathUpstreamHealth)
 	if err := u.healthConn.client.DoTimeout(req, resp, healthTimeout); err != nil {
-		return false
+		return err
 	}
 	_ = resp.CloseBodyStream()
-	return resp.StatusCode() == fasthttp.StatusOK
+	if status := resp.StatusCode(); status != fasthttp.StatusOK {
+		return errs.New("status %d", status)
+	}
+	return nil
 }
 
 // result is the result of a run.
--- a/agent/upstream_test.go
+++ b/agent/upstream_test.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
+	"strings"
 	"testing"
+	"time"
 
 	"cactustide/fakes"
 	"cactustide/setup"
@@ -50,3 +54,116 @@
 		})
 	}
 }
+
+// startRaw starts an upstream whose connections a function serves.
+func startRaw(t *testing.T, serve func(c *net.TCPConn)) *upstream {
+	t.Helper()
+	server, err := fakes.NewRawServer(serve)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	u := newUpstream(setup.Upstream{Address: server.Address, Kind: setup.KindPlain}, 1<<20, func() uint64 { return 1 })
+	t.Cleanup(u.close)
+	return u
+}
+
+// startBroken starts an upstream that sends a response to each request.
+func startBroken(t *testing.T, response string) *upstream {
+	t.Helper()
+	return startRaw(t, func(c *net.TCPConn) {
+		_, _ = c.Read(make([]byte, 4<<10))
+		_, _ = io.WriteString(c, response) // The client may have closed it.
+	})
+}
+
+// TestBrokenHead guards against a response whose head has a defect that the HTTP library lets pass:
+// nothing of it may be passed on, the request counts as one that may have run and the error states why.
+func TestBrokenHead(t *testing.T) {
+	for name, response := range fakes.BrokenHeads("", "hello") {
+		t.Run(name, func(t *testing.T) {
+			u := startBroken(t, response)
+			got := u.run(context.Background(), &wire.Job{Method: http.MethodGet, Path: "/a", Id: "1", Once: true}, 1, responseReceiver{
+				onHead: func(status int, _ string) { t.Errorf("got status %d passed on, want nothing", status) },
+				onData: func(p []byte, _ int64) error {
+					t.Errorf("got %q passed on, want nothing", p)
+					return nil
+				},
+			})
+			if got.complete || got.unsent || got.fenced || got.err == nil {
+				t.Fatalf("got %+v, want an error of a request that may have run", got)
+			}
+			if text := got.err.Error(); !strings.Contains(text, "no status of a response") && !strings.Contains(text, "no name of a field") && !strings.Contains(text, "malformed mime header line") {
+				t.Errorf("got error %q, want the defect", text)
+			}
+		})
+	}
+}
+
+// TestBrokenHealth guards against a broken response taken for the answer of a healthy upstream.
+func TestBrokenHealth(t *testing.T) {
+	tests := fakes.BrokenHeads("", "hello")
+	for name, response := range tests {
+		t.Run(name, func(t *testing.T) {
+			if err := startBroken(t, response).checkHealth(); err == nil {
+				t.Error("got a healthy upstream, want an error")
+			}
+		})
+	}
+}
+
+// TestResetDuringUpload checks that a response without a length whose connection is reset while the
+// upload is being written does not look complete.
+func TestResetDuringUpload(t *testing.T) {
+	const attempts = 30
+	responses := map[string]string{
+		"plain":      "HTTP/1.1 200 OK\r\n\r\nhello",
+		"empty":      "HTTP/1.1 200 OK\r\n\r\n",
+		"large":      "HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("x", 300<<10),
+		"HTTP 1.0":   "HTTP/1.0 200 OK\r\n\r\nhello",
+		"stream":     "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: a\n\n",
+		"status 404": "HTTP/1.1 404 Not Found\r\n\r\nhello",
+		"status 500": "HTTP/1.1 500 Internal Server Error\r\n\r\nhello",
+	}
+	for name, response := range responses {
+		for moment, after := range map[string]time.Duration{"at once": 0, "after 5 ms": 5 * time.Millisecond} {
+			t.Run(name+", "+moment, func(t *testing.T) {
+				t.Parallel()
+				u := startRaw(t, fakes.ResetAfter(response, after))
+				for n := range attempts {
+					got := u.run(context.Background(), &wire.Job{Method: http.MethodPost, Path: "/a", Id: fmt.Sprint(n), Body: make([]byte, 1<<20), Once: true}, 1, responseReceiver{
+						onHead: func(int, string) {}, onData: func([]byte, int64) error { return nil },
+					})
+					if got.complete || got.unsent {
+						t.Fatalf("got complete %v, unsent %v, want a response that broke off", got.complete, got.unsent)
+					}
+				}
+			})
+		}
+	}
+}
+
+// TestResponseDuringUpload checks that a response which comes before the upload was read is passed on
+// whole if its connection ends in order.
+func TestResponseDuringUpload(t *testing.T) {
+	for name, response := range map[string]string{
+		"unframed":   "HTTP/1.1 200 OK\r\n\r\nhello",
+		"length":     "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+		"status 413": "HTTP/1.1 413 Content Too Large\r\n\r\nhello",
+	} {
+		t.Run(name, func(t *testing.T) {
+			u := startRaw(t, func(c *net.TCPConn) {
+				_, _ = c.Read(make([]byte, 512))
+				_, _ = io.WriteString(c, response)
+				_ = c.CloseWrite()
+				_, _ = io.Copy(io.Discard, c)
+			})
+			got := u.run(context.Background(), &wire.Job{Method: http.MethodPost, Path: "/a", Id: "1", Body: make([]byte, 1<<20), Once: true}, 1, responseReceiver{
+				onHead: func(int, string) {}, onData: func([]byte, int64) error { return nil },
+			})
+			if !got.complete || string(got.body) != "hello" {
+				t.Errorf("got complete %v, body %q, error %v, want the whole response", got.complete, got.body, got.err)
+			}
+		})
+	}
+}
--- a/cmds/ctl.go
+++ b/cmds/ctl.go
@@ -14,6 +14,7 @@
 	"github.com/zeebo/errs"
 
 	"cactustide/config"
+	"cactustide/dial"
 	"cactustide/setup"
 	"cactustide/store"
 	"cactustide/wire"
@@ -21,6 +22,9 @@
 
 const adminTimeout = 3 * time.Second
 
+// adminClient calls the admin addresses of processes.
+var adminClient = &fasthttp.Client{Dial: dial.OpenKeepAlive}
+
 // ctlOptions holds the flags common to all operator commands.
 type ctlOptions struct {
 	file   string
@@ -123,7 +127,7 @@
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI("http://" + address + path)
 	req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+x.settings.OperatorToken)
-	if err := fasthttp.DoTimeout(req, resp, adminTimeout); err != nil {
+	if err := adminClient.DoTimeout(req, resp, adminTimeout); err != nil {
 		return &Error{Op: "query " + address, Kind: KindCall, Err: err}
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
--- a/cmds/entries.go
+++ b/cmds/entries.go
@@ -154,7 +154,7 @@
 // fetchAdmin reads a message as JSON from an entry's admin address.
 func fetchAdmin(address, path string, into proto.Message) error {
 	op := "read " + path + " of " + address
-	code, body, err := fasthttp.GetTimeout(nil, "http://"+address+path, fetchTimeout)
+	code, body, err := adminClient.GetTimeout(nil, "http://"+address+path, fetchTimeout)
 	if err != nil {
 		return &Error{Op: op, Kind: KindCall, Err: err}
 	}
--- a/dial/dial.go
+++ b/dial/dial.go
@@ -1,5 +1,5 @@
-// Package dial opens and accepts connections with timeouts on progress, and
-// disables the retries of the HTTP library.
+// Package dial opens and accepts connections with timeouts on progress, checks the heads
+// of responses, and disables the retries of the HTTP library.
 package dial
 
 import (
@@ -8,17 +8,21 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"cactustide/head"
 )
 
 // Timeout bounds the opening of a connection.
 const Timeout = time.Second
 
-// Conn is a connection whose reads time out when no data arrives. A hung peer
-// still accepts connections, so that only missing data reveals it; the total
-// duration of a response is not limited.
+// Conn is a connection of an HTTP client. It checks the head of each response before the HTTP
+// library reads it, since that lets defects pass. Its reads time out when no data arrives, if an idle
+// timeout is set: a hung peer still accepts connections, so that only missing data reveals it; the
+// total duration of a response is not limited.
 type Conn struct {
 	net.Conn
 	idleTimeout time.Duration
+	response    head.Scanner
 }
 
 // Open connects to address. A read without data for idleTimeout fails. Opening
@@ -31,12 +35,25 @@
 	return &Conn{Conn: conn, idleTimeout: idleTimeout}, nil
 }
 
-// Read resets the read deadline and reads.
+// Write writes a part of a request. What is read next is its response.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.response.Reset()
+	return c.Conn.Write(p)
+}
+
+// Read resets the read deadline, if there is an idle timeout, and reads. It returns a *head.Error
+// before the first byte that no head can have.
 func (c *Conn) Read(p []byte) (int, error) {
-	if err := c.SetReadDeadline(time.Now().Add(c.idleTimeout)); err != nil {
-		return 0, err
+	if c.idleTimeout > 0 {
+		if err := c.SetReadDeadline(time.Now().Add(c.idleTimeout)); err != nil {
+			return 0, err
+		}
 	}
-	return c.Conn.Read(p)
+	n, err := c.Conn.Read(p)
+	if checked, headErr := c.response.Scan(p[:n]); headErr != nil {
+		return checked, headErr
+	}
+	return n, err
 }
 
 // WriteTimeout is how long a write to a caller or an entry may make no progress.
@@ -114,5 +131,9 @@
 		Timeout:         Timeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
 	}
-	return d.Dial("tcp", address)
+	conn, err := d.Dial("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &Conn{Conn: conn}, nil
 }
--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -16,6 +16,7 @@
 
 	"cactustide/conn"
 	"cactustide/fleet"
+	"cactustide/head"
 )
 
 const (
@@ -204,6 +205,9 @@
 			return err
 		}
 		x.conn.UnlimitRead()
+		if err := head.CheckStatus(resp.StatusCode); err != nil {
+			return err
+		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
--- a/direct/script_test.go
+++ b/direct/script_test.go
@@ -22,7 +22,7 @@
 }
 
 // newScriptedUpstream starts an upstream that is not registered yet.
-func newScriptedUpstream(t *testing.T, serve func(c net.Conn, q *http.Request) bool) *scriptedUpstream {
+func newScriptedUpstream(t testing.TB, serve func(c net.Conn, q *http.Request) bool) *scriptedUpstream {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/store/store.go
+++ b/store/store.go
@@ -110,6 +110,7 @@
 	h := &consul{
 		address: address,
 		http: &fasthttp.Client{
+			Dial:                      dial.OpenKeepAlive,
 			NoDefaultUserAgentHeader:  true,
 			MaxConnsPerHost:           maxConns,
 			MaxIdemponentCallAttempts: 1,
--- /dev/null
+++ b/store/store_test.go
@@ -0,0 +1,77 @@
+package store
+
+import (
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"cactustide/fakes"
+)
+
+// newRawClient returns a client of a service whose connections a function serves.
+func newRawClient(t *testing.T, serve func(c *net.TCPConn)) *Client {
+	t.Helper()
+	server, err := fakes.NewRawServer(serve)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	return New(server.Address)
+}
+
+func respond(response string) func(c *net.TCPConn) {
+	return func(c *net.TCPConn) {
+		_, _ = c.Read(make([]byte, 4<<10))
+		_, _ = io.WriteString(c, response) // The client may have closed it.
+	}
+}
+
+// TestBrokenHead guards against a response with a broken head taken for one of the service: it says
+// neither what a key holds nor whether a write took effect.
+func TestBrokenHead(t *testing.T) {
+	for name, response := range fakes.BrokenHeads("X-Consul-Index: 3\r\n", `[{"Key":"k","Value":"eA==","ModifyIndex":3}]`) {
+		t.Run("get, "+name, func(t *testing.T) {
+			c := newRawClient(t, respond(response))
+			if got, err := c.Get("k"); err == nil {
+				t.Errorf("got %+v, want an error", got)
+			}
+		})
+	}
+	for name, response := range fakes.BrokenHeads("", "true") {
+		t.Run("swap, "+name, func(t *testing.T) {
+			c := newRawClient(t, respond(response))
+			written, err := c.Swap("k", []byte("x"), 0)
+			var typed *Error
+			if !errors.As(err, &typed) || typed.Kind != KindAmbiguous {
+				t.Errorf("got written %v and error %v, want an error of kind %s", written, err, KindAmbiguous)
+			}
+		})
+	}
+}
+
+// TestReset checks that a response which is broken off with a reset is an error, also while a large
+// value is being written.
+func TestReset(t *testing.T) {
+	responses := map[string]string{
+		"unframed": "HTTP/1.1 200 OK\r\n\r\ntrue",
+		"length":   "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\ntrue",
+		"chunks":   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ntrue\r\n",
+		"status":   "HTTP/1.1 500 Internal Server Error\r\n\r\ntrue",
+	}
+	for name, response := range responses {
+		for moment, after := range map[string]time.Duration{"at once": 0, "after 5 ms": 5 * time.Millisecond} {
+			t.Run(name+", "+moment, func(t *testing.T) {
+				c := newRawClient(t, fakes.ResetAfter(response, after))
+				for range 20 {
+					written, err := c.Swap("k", make([]byte, 1<<20), 0)
+					var typed *Error
+					if !errors.As(err, &typed) || typed.Kind != KindAmbiguous {
+						t.Fatalf("got written %v and error %v, want an error of kind %s", written, err, KindAmbiguous)
+					}
+				}
+			})
+		}
+	}
+}
