--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -205,7 +205,7 @@
 			return err
 		}
 		x.conn.UnlimitRead()
-		if err := head.CheckStatus(resp.StatusCode); err != nil {
+		if err := checkHead(resp); err != nil {
 			return err
 		}
 		if resp.StatusCode < http.StatusOK {
@@ -238,6 +238,15 @@
 	return errNoResponse
 }
 
+// checkHead returns an error if the head of a response, which may be an informational one, has a
+// defect that http.ReadResponse lets pass.
+func checkHead(resp *http.Response) error {
+	if err := head.CheckStatus(resp.StatusCode); err != nil {
+		return err
+	}
+	return head.CheckNames(resp.Header)
+}
+
 // isResponseTo reports whether a response is to the request. Upstreams state the id of the
 // request. A response without one counts only as a failure, and only on a connection that
 // carried no other request; it never shows that the request was not executed.
--- a/direct/head_test.go
+++ b/direct/head_test.go
@@ -78,8 +78,10 @@
 // that the request was not executed.
 func TestBrokenHeadRetried(t *testing.T) {
 	responses := map[string]string{
-		"status 000":          "HTTP/1.1 000 Unknown\r\n" + rawFields + "Content-Length: 5\r\n\r\nhello",
-		"refusal, status 000": "HTTP/1.1 000 Busy\r\nCactustide-Not-Executed: 1\r\n" + rawFields + "Content-Length: 0\r\n\r\n",
+		"status 000":               "HTTP/1.1 000 Unknown\r\n" + rawFields + "Content-Length: 5\r\n\r\nhello",
+		"blank in a name":          "HTTP/1.1 200 OK\r\nBad Name: x\r\n" + rawFields + "Content-Length: 5\r\n\r\nhello",
+		"refusal, blank in a name": "HTTP/1.1 503 Busy\r\nBad Name: x\r\nCactustide-Not-Executed: 1\r\n" + rawFields + "Content-Length: 0\r\n\r\n",
+		"refusal, status 000":      "HTTP/1.1 000 Busy\r\nCactustide-Not-Executed: 1\r\n" + rawFields + "Content-Length: 0\r\n\r\n",
 	}
 	for name, response := range responses {
 		for path, retried := range map[string]bool{"/read/a": true, "/book/a": false} {
--- a/head/head.go
+++ b/head/head.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"github.com/zeebo/errs"
+	"golang.org/x/net/http/httpguts"
 )
 
 // Kind classifies the errors of this package.
@@ -16,6 +17,8 @@
 const (
 	// KindStatus: the status is none that a response can have.
 	KindStatus Kind = "status"
+	// KindName: the name of a field is no token.
+	KindName Kind = "name"
 )
 
 // Error is the type of all errors of this package.
@@ -31,6 +34,9 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
+// maxQuoted bounds what an error quotes of a head, bytes.
+const maxQuoted = 40
+
 // Bounds of the status, RFC 9110, section 15.
 const (
 	minStatus = 100
@@ -45,3 +51,17 @@
 	}
 	return nil
 }
+
+// CheckNames returns an error if the name of a field is no token (RFC 9110, section 5.1).
+func CheckNames(h http.Header) error {
+	for name := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return nameError(name)
+		}
+	}
+	return nil
+}
+
+func nameError(name string) error {
+	return &Error{Op: "check", Kind: KindName, Err: errs.New("%q is no name of a field", name[:min(len(name), maxQuoted)])}
+}
--- a/head/scan.go
+++ b/head/scan.go
@@ -1,6 +1,9 @@
 package head
 
-import "github.com/zeebo/errs"
+import (
+	"github.com/zeebo/errs"
+	"golang.org/x/net/http/httpguts"
+)
 
 // part is the part of a response that a Scanner expects next.
 type part int
@@ -10,6 +13,7 @@
 	partStatus
 	partReason
 	partLine
+	partName
 	partValue
 	partBody
 )
@@ -25,13 +29,15 @@
 	// count is the number of bytes of the version or the status so far.
 	count  int
 	status int
-	// digits is the status so far as text.
-	digits []byte
-	err    error
+	// name is the name of the field so far, at most maxQuoted bytes.
+	name []byte
+	// ended is set after the carriage return of an empty line.
+	ended bool
+	err   error
 }
 
 // Reset makes the scanner expect a response.
-func (s *Scanner) Reset() { *s = Scanner{digits: s.digits[:0]} }
+func (s *Scanner) Reset() { *s = Scanner{name: s.name[:0]} }
 
 // Scan checks the next bytes and returns the number of them before a defect and its error. From
 // the body on it accepts all bytes.
@@ -57,8 +63,9 @@
 	case partStatus:
 		return s.scanStatus(b)
 	case partLine:
-		s.scanLineStart(b)
-		return nil
+		return s.scanLineStart(b)
+	case partName:
+		return s.scanName(b)
 	default: // The reason or a value.
 		if b == '\n' {
 			s.next = partLine
@@ -83,9 +90,9 @@
 
 func (s *Scanner) scanStatus(b byte) error {
 	if s.count < 3 {
-		s.digits = append(s.digits, b)
+		s.name = append(s.name, b)
 		if b < '0' || b > '9' {
-			return statusError(string(s.digits))
+			return statusError(string(s.name))
 		}
 		s.status = 10*s.status + int(b-'0')
 		s.count++
@@ -97,7 +104,7 @@
 	case '\n':
 		s.next = partLine
 	default:
-		return statusError(string(append(s.digits, b)))
+		return statusError(string(append(s.name, b)))
 	}
 	return CheckStatus(s.status)
 }
@@ -106,15 +113,23 @@
 	return &Error{Op: "check", Kind: KindStatus, Err: errs.New("%q is no status of a response", text)}
 }
 
-// scanLineStart handles the first bytes of a line after the first one.
-func (s *Scanner) scanLineStart(b byte) {
-	switch b {
-	case '\n':
+// scanLineStart handles the first byte of a line after the first one.
+func (s *Scanner) scanLineStart(b byte) error {
+	switch {
+	case b == '\n':
 		s.endHead()
-	case '\r':
-	default:
+		return nil
+	case s.ended:
+		return nameError("\r" + string(b))
+	case b == '\r':
+		s.ended = true
+		return nil
+	case b == ' ' || b == '\t': // Continues the value of the line before; parsers agree on that.
 		s.next = partValue
+		return nil
 	}
+	s.next, s.name = partName, s.name[:0]
+	return s.scanName(b)
 }
 
 // endHead expects the body, or the next head after that of an informational response.
@@ -125,3 +140,17 @@
 		s.next = partBody
 	}
 }
+
+func (s *Scanner) scanName(b byte) error {
+	if b == ':' && len(s.name) > 0 {
+		s.next = partValue
+		return nil
+	}
+	if len(s.name) < maxQuoted {
+		s.name = append(s.name, b)
+	}
+	if b >= 0x80 || !httpguts.IsTokenRune(rune(b)) {
+		return nameError(string(s.name))
+	}
+	return nil
+}
