agent: a response without a body does not end the process (LOST)

Callers lost all requests at an upstream that answered one of them with 204 or 304 (or 101): the agent ended.

Cause: fasthttp has no body stream for a status that allows no body; upstream.run read from nil and nothing recovers.

Evidence on: TestNoBody/204 and /304 and TestBrokenHead/status_101,_length panic with a nil dereference in bufferBody. Ruled out: calls to agents, whose body is read at status 200 only.

Fix: bodyOf returns an empty body where the library has none. After: TestNoBody (204, 205, 304) passes.

--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -206,12 +206,21 @@
 	return append(out, rest...)
 }
 
+// bodyOf returns the body of a response. The HTTP library has none for a status that allows no body.
+func bodyOf(resp *fasthttp.Response) io.Reader {
+	if body := resp.BodyStream(); body != nil {
+		return body
+	}
+	return bytes.NewReader(nil)
+}
+
 // forwardStream forwards an event stream. It is complete only with its end marker.
 func (u *upstream) forwardStream(resp *fasthttp.Response, to responseReceiver) result {
 	var events wire.EventCounter
 	buffer := make([]byte, streamBufferBytes)
+	body := bodyOf(resp)
 	for {
-		n, err := resp.BodyStream().Read(buffer)
+		n, err := body.Read(buffer)
 		if n > 0 {
 			events.Add(buffer[:n])
 			if sendErr := to.onData(buffer[:n], events.Count); sendErr != nil {
@@ -232,7 +241,7 @@
 // than maxResponseBytes.
 func (u *upstream) bufferBody(resp *fasthttp.Response, status int, contentType string, to responseReceiver) result {
 	out := result{status: status, contentType: contentType}
-	body, err := io.ReadAll(io.LimitReader(resp.BodyStream(), u.maxResponseBytes+1))
+	body, err := io.ReadAll(io.LimitReader(bodyOf(resp), u.maxResponseBytes+1))
 	if err != nil {
 		out.err = err
 		return out
--- a/agent/upstream_test.go
+++ b/agent/upstream_test.go
@@ -100,6 +100,27 @@
 	}
 }
 
+// TestNoBody guards against an upstream that ends the process with a response whose status allows no
+// body.
+func TestNoBody(t *testing.T) {
+	for name, response := range map[string]string{
+		"204": "HTTP/1.1 204 No Content\r\n\r\n",
+		"304": "HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n",
+		"205": "HTTP/1.1 205 Reset Content\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			u := startBroken(t, response)
+			status := 0
+			got := u.run(context.Background(), &wire.Job{Method: http.MethodGet, Path: "/a", Id: "1", Once: true}, 1, responseReceiver{
+				onHead: func(s int, _ string) { status = s }, onData: func([]byte, int64) error { return nil },
+			})
+			if !got.complete || fmt.Sprint(status) != name || len(got.body) > 0 {
+				t.Errorf("got %+v and status %d, want a complete response without a body", got, status)
+			}
+		})
+	}
+}
+
 // TestBrokenHealth guards against a broken response taken for the answer of a healthy upstream.
 func TestBrokenHealth(t *testing.T) {
 	tests := fakes.BrokenHeads("", "hello")
