agent, dial: a health check that breaks off shows no health

Requests went to an upstream in trouble: the answer to its health check was reset within its body, cut short or silent, and counted as healthy for its status 200.

Cause: the check closed the body unread. Reading it had no bound either: dial.Conn overwrote the deadline of the check with its idle timeout of 2 minutes at each read.

Evidence on: TestHealthBody/reset and /silent healthy, /no_response ended after 4 s, with the connection; TestBrokenHealth/length,_cut and /chunks,_cut healthy; TestReadDeadline/idle_timeout still read after 2 s, 50 ms were set. Ruled out: requests in progress, which use other connections.

Fix: the check reads up to 64 KB of the body within its timeout of 2 s; dial.Conn uses the earlier deadline. After: the tests of agent and dial pass.

--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -22,6 +22,8 @@
 
 const (
 	healthTimeout = 2 * time.Second
+	// maxHealthBytes bounds what is read of the answer to a health check.
+	maxHealthBytes = 64 << 10
 	// upstreamReadTimeout is the longest time without data from a running upstream.
 	upstreamReadTimeout  = 2 * time.Minute
 	idleConnTimeout      = 30 * time.Second
@@ -96,7 +98,7 @@
 }
 
 // checkHealth returns nil if the upstream's health check answers with status 200, and otherwise why
-// not.
+// not. A response that breaks off is none.
 func (u *upstream) checkHealth() error {
 	req := fasthttp.AcquireRequest()
 	resp := fasthttp.AcquireResponse()
@@ -106,11 +108,12 @@
 	if err := u.healthConn.client.DoTimeout(req, resp, healthTimeout); err != nil {
 		return err
 	}
-	_ = resp.CloseBodyStream()
+	defer func() { _ = resp.CloseBodyStream() }()
 	if status := resp.StatusCode(); status != fasthttp.StatusOK {
 		return errs.New("status %d", status)
 	}
-	return nil
+	_, err := io.Copy(io.Discard, io.LimitReader(bodyOf(resp), maxHealthBytes))
+	return err
 }
 
 // result is the result of a run.
--- a/agent/upstream_test.go
+++ b/agent/upstream_test.go
@@ -124,6 +124,8 @@
 // TestBrokenHealth guards against a broken response taken for the answer of a healthy upstream.
 func TestBrokenHealth(t *testing.T) {
 	tests := fakes.BrokenHeads("", "hello")
+	tests["length, cut"] = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nhello"
+	tests["chunks, cut"] = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n"
 	for name, response := range tests {
 		t.Run(name, func(t *testing.T) {
 			if err := startBroken(t, response).checkHealth(); err == nil {
@@ -133,6 +135,40 @@
 	}
 }
 
+// TestHealthBody checks answers to a health check with status 200 by how their body ends.
+func TestHealthBody(t *testing.T) {
+	const unframed = "HTTP/1.1 200 OK\r\n\r\nhello"
+	tests := map[string]struct {
+		serve   func(c *net.TCPConn)
+		healthy bool
+	}{
+		"closed in order": {func(c *net.TCPConn) {
+			_, _ = c.Read(make([]byte, 512))
+			_, _ = io.WriteString(c, unframed)
+		}, true},
+		"reset":       {fakes.ResetAfter(unframed, 20*time.Millisecond), false},
+		"silent":      {fakes.ResetAfter(unframed, 4*time.Second), false},
+		"no response": {fakes.ResetAfter("", 4*time.Second), false},
+		"no body": {func(c *net.TCPConn) {
+			_, _ = c.Read(make([]byte, 512))
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			u := startRaw(t, test.serve)
+			begin := time.Now()
+			if err := u.checkHealth(); (err == nil) != test.healthy {
+				t.Errorf("got error %v, want a healthy upstream: %v", err, test.healthy)
+			}
+			if took := time.Since(begin); took > healthTimeout+time.Second {
+				t.Errorf("got a result after %v, want it within %v", took, healthTimeout)
+			}
+		})
+	}
+}
+
 // TestResetDuringUpload checks that a response without a length whose connection is reset while the
 // upload is being written does not look complete.
 func TestResetDuringUpload(t *testing.T) {
--- a/dial/dial.go
+++ b/dial/dial.go
@@ -22,7 +22,9 @@
 type Conn struct {
 	net.Conn
 	idleTimeout time.Duration
-	response    head.Scanner
+	// readDeadline bounds all reads; zero means no bound.
+	readDeadline time.Time
+	response     head.Scanner
 }
 
 // Open connects to address. A read without data for idleTimeout fails. Opening
@@ -41,11 +43,21 @@
 	return c.Conn.Write(p)
 }
 
-// Read resets the read deadline, if there is an idle timeout, and reads. It returns a *head.Error
-// before the first byte that no head can have.
+// SetReadDeadline sets a deadline for all reads, beside the idle timeout of each.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.readDeadline = t
+	return c.Conn.SetReadDeadline(t)
+}
+
+// Read reads until the idle timeout, if there is one, or the read deadline. It returns a
+// *head.Error before the first byte that no head can have.
 func (c *Conn) Read(p []byte) (int, error) {
 	if c.idleTimeout > 0 {
-		if err := c.SetReadDeadline(time.Now().Add(c.idleTimeout)); err != nil {
+		deadline := time.Now().Add(c.idleTimeout)
+		if !c.readDeadline.IsZero() && c.readDeadline.Before(deadline) {
+			deadline = c.readDeadline
+		}
+		if err := c.Conn.SetReadDeadline(deadline); err != nil {
 			return 0, err
 		}
 	}
--- a/dial/dial_test.go
+++ b/dial/dial_test.go
@@ -1,7 +1,9 @@
 package dial
 
 import (
+	"errors"
 	"net"
+	"os"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -123,3 +125,37 @@
 		t.Error("got a dial error for a closed connection, want none")
 	}
 }
+
+// TestReadDeadline checks that a deadline which ends before the idle timeout ends a read.
+func TestReadDeadline(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	for name, idleTimeout := range map[string]time.Duration{"idle timeout": time.Minute, "no idle timeout": 0} {
+		t.Run(name, func(t *testing.T) {
+			conn, err := Open(l.Addr().String(), idleTimeout)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			if err := conn.SetReadDeadline(time.Now().Add(50 * time.Millisecond)); err != nil {
+				t.Fatal(err)
+			}
+			result := make(chan error, 1)
+			go func() {
+				_, err := conn.Read(make([]byte, 1))
+				result <- err
+			}()
+			select {
+			case err := <-result:
+				if !errors.Is(err, os.ErrDeadlineExceeded) {
+					t.Errorf("got error %v, want the deadline's", err)
+				}
+			case <-time.After(2 * time.Second):
+				t.Error("got no end of the read after 2 s, want one after 50 ms")
+			}
+		})
+	}
+}
