peer, relay: tests of replies that break off

Part of the search for readers that take a broken answer for a whole one: calls between processes use net/rpc, not HTTP.

--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -174,3 +174,25 @@
 		g.handleDatagram(time.Unix(1000, 0), "127.0.0.1:2", data)
 	})
 }
+
+// TestBrokenReply checks that a peer's reply which is broken off with a reset is an error.
+func TestBrokenReply(t *testing.T) {
+	a, _ := newGossiper(t, 7)
+	b, _ := newGossiper(t, 8)
+	whole := false
+	for n := int64(0); n < 1000 && !whole; n++ {
+		raw, err := fakes.NewRawServer(fakes.ServeCut(a.address, n))
+		if err != nil {
+			t.Fatal(err)
+		}
+		reply, err := b.FetchSnapshot(raw.Address, 1, 0)
+		raw.Close()
+		if err == nil && (reply.GetRevision() != 7 || len(reply.GetItems()) != 1) {
+			t.Errorf("first %d bytes: got %v, want an error", n, reply)
+		}
+		whole = err == nil
+	}
+	if !whole {
+		t.Error("got no whole reply with any number of bytes, want one")
+	}
+}
