agent, direct: early responses with uploads that are not read

TestResponseDuringUpload uses three sizes of upload and a small receive buffer in direct, and in agent an upstream that closes without having read the upload.

--- a/agent/upstream_test.go
+++ b/agent/upstream_test.go
@@ -203,24 +203,30 @@
 // TestResponseDuringUpload checks that a response which comes before the upload was read is passed on
 // whole if its connection ends in order.
 func TestResponseDuringUpload(t *testing.T) {
+	ends := map[string]func(c *net.TCPConn){
+		"upload read":     func(c *net.TCPConn) { _, _ = io.Copy(io.Discard, c) },
+		"upload not read": func(*net.TCPConn) { time.Sleep(30 * time.Millisecond) },
+	}
 	for name, response := range map[string]string{
 		"unframed":   "HTTP/1.1 200 OK\r\n\r\nhello",
 		"length":     "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
 		"status 413": "HTTP/1.1 413 Content Too Large\r\n\r\nhello",
 	} {
-		t.Run(name, func(t *testing.T) {
-			u := startRaw(t, func(c *net.TCPConn) {
-				_, _ = c.Read(make([]byte, 512))
-				_, _ = io.WriteString(c, response)
-				_ = c.CloseWrite()
-				_, _ = io.Copy(io.Discard, c)
-			})
-			got := u.run(context.Background(), &wire.Job{Method: http.MethodPost, Path: "/a", Id: "1", Body: make([]byte, 1<<20), Once: true}, 1, responseReceiver{
-				onHead: func(int, string) {}, onData: func([]byte, int64) error { return nil },
+		for end, f := range ends {
+			t.Run(name+", "+end, func(t *testing.T) {
+				u := startRaw(t, func(c *net.TCPConn) {
+					_, _ = c.Read(make([]byte, 512))
+					_, _ = io.WriteString(c, response)
+					_ = c.CloseWrite()
+					f(c)
+				})
+				got := u.run(context.Background(), &wire.Job{Method: http.MethodPost, Path: "/a", Id: "1", Body: make([]byte, 1<<20), Once: true}, 1, responseReceiver{
+					onHead: func(int, string) {}, onData: func([]byte, int64) error { return nil },
+				})
+				if !got.complete || string(got.body) != "hello" {
+					t.Errorf("got complete %v, body %q, error %v, want the whole response", got.complete, got.body, got.err)
+				}
 			})
-			if !got.complete || string(got.body) != "hello" {
-				t.Errorf("got complete %v, body %q, error %v, want the whole response", got.complete, got.body, got.err)
-			}
-		})
+		}
 	}
 }
--- a/direct/early_test.go
+++ b/direct/early_test.go
@@ -121,12 +121,13 @@
 	"status 500":     {"/book/a", rawFailure("500 Internal Server Error") + "\r\nhello", 500, "hello"},
 }
 
-func (s *testStack) sendLarge(path string) callerResponse {
+// sendLarge sends a request with a body of that many bytes.
+func (s *testStack) sendLarge(path string, bytes int) callerResponse {
 	s.t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	return s.send(ctx, s.entries[0], callerRequest{
-		path: path, key: testKey, body: strings.Repeat("u", 1<<20),
+		path: path, key: testKey, body: strings.Repeat("u", bytes),
 		stream: strings.HasPrefix(path, "/chat") || strings.HasPrefix(path, "/long") || strings.HasPrefix(path, "/draft"),
 	})
 }
@@ -147,7 +148,7 @@
 				u := s.newEarlyUpstream(test.response, end)
 				complete := 0
 				for range attempts {
-					got := s.sendLarge(test.path)
+					got := s.sendLarge(test.path, 1<<20)
 					if got.err == nil && got.status == test.status && strings.HasPrefix(test.body, got.body) {
 						complete++
 					}
@@ -171,7 +172,7 @@
 			t.Parallel()
 			s := newStack(t, 1)
 			u := s.startEarlyUpstream(&earlyUpstream{response: test.response, end: resetAfter(5 * time.Second), receiveBytes: 4 << 10})
-			got := s.sendLarge(test.path)
+			got := s.sendLarge(test.path, 1<<20)
 			if got.err == nil && got.status == test.status && strings.HasPrefix(test.body, got.body) {
 				t.Errorf("got a response that looks complete, want an error or an early end")
 			}
@@ -201,7 +202,7 @@
 			t.Parallel()
 			s := newStack(t, 1)
 			u := s.newEarlyUpstream(test.response, resetAfter(20*time.Millisecond))
-			got := s.sendLarge("/book/a")
+			got := s.sendLarge("/book/a", 1<<20)
 			complete := got.err == nil && got.status == http.StatusOK && got.body == "hello"
 			if complete != test.complete {
 				t.Errorf("got status %d, body %q, error %v, want complete: %v", got.status, got.body, got.err, test.complete)
@@ -222,11 +223,11 @@
 			t.Run(name+", "+end, func(t *testing.T) {
 				t.Parallel()
 				s := newStack(t, 1)
-				u := s.newEarlyUpstream(test.response, f)
-				for range 3 {
-					got := s.sendLarge(test.path)
+				u := s.startEarlyUpstream(&earlyUpstream{response: test.response, end: f, receiveBytes: 4 << 10})
+				for _, size := range []int{64 << 10, 512 << 10, 1 << 20} {
+					got := s.sendLarge(test.path, size)
 					if got.err != nil || got.status != test.status || got.body != test.body {
-						t.Errorf("got status %d, %d bytes, error %v, want the whole response", got.status, len(got.body), got.err)
+						t.Errorf("upload of %d bytes: got status %d, %d bytes, error %v, want the whole response", size, got.status, len(got.body), got.err)
 					}
 				}
 				if n := u.received.Load(); n != 3 {
@@ -253,7 +254,7 @@
 			s.newEarlyUpstream(test.response, test.end)
 			const requests = 6
 			for range requests {
-				s.sendLarge("/book/a")
+				s.sendLarge("/book/a", 1<<20)
 			}
 			if got := strings.Count(log.String(), test.want); got < requests {
 				t.Errorf("got %q %d times in the log, want it for each of %d requests", test.want, got, requests)
