--- a/direct/caller.go
+++ b/direct/caller.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -64,6 +65,30 @@
 	return started != 0 && timeout > 0 && now.UnixNano()-started > int64(timeout)
 }
 
+// resetOnClose makes the connection end with a reset when it is closed.
+func (c *callerConn) resetOnClose() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // A connection that has failed is reset already.
+	}
+}
+
+type callerConnKey struct{}
+
+// withCallerConn returns the context of the requests on a caller's connection.
+func withCallerConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, callerConnKey{}, c)
+}
+
+// breakOff ends a response of which the caller has a part, so that the caller sees that it is not
+// complete. The HTTP server then closes the connection, and to a caller of HTTP/1.0 a close in order
+// would be the end of the response: that one gets a reset.
+func breakOff(q *request) {
+	if q.endsWithConn && q.caller != nil {
+		q.caller.resetOnClose()
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // callerListener wraps accepted connections in callerConn.
 type callerListener struct{ net.Listener }
 
--- a/direct/entry.go
+++ b/direct/entry.go
@@ -212,6 +212,7 @@
 		ReadHeaderTimeout: headReadTimeout,
 		MaxHeaderBytes:    maxHeadBytes,
 		ConnState:         e.callerConns.trackState,
+		ConnContext:       withCallerConn,
 		ErrorLog:          errorLog,
 	}
 	e.readyServer = &http.Server{
--- a/direct/forward.go
+++ b/direct/forward.go
@@ -347,7 +347,7 @@
 func (e *Entry) fail(w http.ResponseWriter, q *request, state *forwardState, status int, reason string) {
 	if state.responseStarted {
 		e.logResult(q, http.StatusOK, "broken off: "+reason, nil)
-		panic(http.ErrAbortHandler) // Makes the caller see an incomplete response.
+		breakOff(q)
 	}
 	if state.executed > 0 && status == http.StatusServiceUnavailable {
 		status = http.StatusBadGateway // It may have been executed; 503 would state that it was not.
--- a/direct/handle.go
+++ b/direct/handle.go
@@ -15,10 +15,14 @@
 
 // request is one attempt of a caller.
 type request struct {
-	info    RequestInfo
-	route   *rules.Route
-	service *rules.Service
-	owner   rules.Owner
+	// caller is the connection of the caller. endsWithConn is set if its end is that of a response
+	// without a length, as with HTTP/1.0.
+	caller       *callerConn
+	endsWithConn bool
+	info         RequestInfo
+	route        *rules.Route
+	service      *rules.Service
+	owner        rules.Owner
 	// tier is the priority of the team and, within it, of the route.
 	tier    int
 	version uint64
@@ -110,7 +114,8 @@
 // parseRequest reads and checks a request. A status other than 0 is to be returned
 // to the caller, with the reason.
 func (e *Entry) parseRequest(now time.Time, w http.ResponseWriter, r *http.Request) (*request, int, string) {
-	q := &request{info: e.headers.DecodeRequest(r.Header), method: r.Method, host: r.Host, header: r.Header, arrived: now, log: e.log}
+	q := &request{endsWithConn: !r.ProtoAtLeast(1, 1), info: e.headers.DecodeRequest(r.Header), method: r.Method, host: r.Host, header: r.Header, arrived: now, log: e.log}
+	q.caller, _ = r.Context().Value(callerConnKey{}).(*callerConn)
 	table := e.rules.Get()
 	if table == nil {
 		return q, http.StatusServiceUnavailable, reasonUnready
--- a/direct/response.go
+++ b/direct/response.go
@@ -76,7 +76,7 @@
 			e.recordAbort(time.Now(), q, x.to, responded)
 		}
 		e.logResult(q, x.resp.StatusCode, "broken off", err)
-		panic(http.ErrAbortHandler)
+		breakOff(q)
 	}
 	x.finish()
 	e.recordRun(time.Now(), q, x)
@@ -272,7 +272,7 @@
 		if err != nil {
 			x.abort()
 			e.logResult(q, http.StatusOK, outcomeDisconnected, err)
-			panic(http.ErrAbortHandler)
+			breakOff(q)
 		}
 	}
 }
