--- a/agent/upstream_test.go
+++ b/agent/upstream_test.go
@@ -71,10 +71,7 @@
 // startBroken starts an upstream that sends a response to each request.
 func startBroken(t *testing.T, response string) *upstream {
 	t.Helper()
-	return startRaw(t, func(c *net.TCPConn) {
-		_, _ = c.Read(make([]byte, 4<<10))
-		_, _ = io.WriteString(c, response) // The client may have closed it.
-	})
+	return startRaw(t, fakes.Respond(response))
 }
 
 // TestBrokenHead guards against a response whose head has a defect that the HTTP library lets pass:
--- a/direct/caller.go
+++ b/direct/caller.go
@@ -80,8 +80,8 @@
 }
 
 // breakOff ends a response of which the caller has a part, so that the caller sees that it is not
-// complete. The HTTP server then closes the connection, and to a caller of HTTP/1.0 a close in order
-// would be the end of the response: that one gets a reset.
+// complete. It does not return: it ends the handler, upon which the HTTP server closes the connection. To
+// a caller of HTTP/1.0 a close in order would be the end of the response: that one gets a reset.
 func breakOff(q *request) {
 	if q.endsWithConn && q.caller != nil {
 		q.caller.resetOnClose()
--- a/entry/head_test.go
+++ b/entry/head_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"bytes"
-	"io"
-	"net"
 	"testing"
 
 	"cactustide/fakes"
@@ -21,10 +19,7 @@
 	}
 	for name, response := range fakes.BrokenHeads("", frames.String()) {
 		t.Run(name, func(t *testing.T) {
-			server, err := fakes.NewRawServer(func(c *net.TCPConn) {
-				_, _ = c.Read(make([]byte, 4<<10))
-				_, _ = io.WriteString(c, response) // The client may have closed it.
-			})
+			server, err := fakes.NewRawServer(fakes.Respond(response))
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/fakes/raw.go
+++ b/fakes/raw.go
@@ -43,6 +43,15 @@
 	s.serving.Wait()
 }
 
+// Respond returns a function for NewRawServer that reads the first bytes of a request, sends a
+// response and ends the connection in order.
+func Respond(response string) func(c *net.TCPConn) {
+	return func(c *net.TCPConn) {
+		_, _ = c.Read(make([]byte, 4<<10))
+		_, _ = io.WriteString(c, response) // The client may have closed it.
+	}
+}
+
 // ResetAfter returns a function for NewRawServer that reads the first bytes of a request, sends a
 // response and resets the connection after a time.
 func ResetAfter(response string, after time.Duration) func(c *net.TCPConn) {
--- a/head/scan.go
+++ b/head/scan.go
@@ -74,7 +74,7 @@
 	}
 }
 
-// scanVersion passes over the version, and over empty lines before it.
+// scanVersion passes over the version, which the parser checks, and over empty lines before it.
 func (s *Scanner) scanVersion(b byte) error {
 	if b == '\r' || b == '\n' {
 		if s.count > 0 {
@@ -120,7 +120,7 @@
 		s.endHead()
 		return nil
 	case s.ended:
-		return nameError("\r" + string(b))
+		return nameError(string([]byte{'\r', b}))
 	case b == '\r':
 		s.ended = true
 		return nil
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"io"
 	"net"
 	"testing"
 	"time"
@@ -54,10 +53,7 @@
 	}
 	for name, response := range fakes.BrokenHeads("", "hello") {
 		t.Run(name, func(t *testing.T) {
-			if reply, err := syncWith(t, func(c *net.TCPConn) {
-				_, _ = c.Read(make([]byte, 4<<10))
-				_, _ = io.WriteString(c, response) // The client may have closed it.
-			}); err == nil {
+			if reply, err := syncWith(t, fakes.Respond(response)); err == nil {
 				t.Errorf("got %v, want an error", reply)
 			}
 		})
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net"
 	"testing"
 	"time"
@@ -21,19 +20,12 @@
 	return New(server.Address)
 }
 
-func respond(response string) func(c *net.TCPConn) {
-	return func(c *net.TCPConn) {
-		_, _ = c.Read(make([]byte, 4<<10))
-		_, _ = io.WriteString(c, response) // The client may have closed it.
-	}
-}
-
 // TestBrokenHead guards against a response with a broken head taken for one of the service: it says
 // neither what a key holds nor whether a write took effect.
 func TestBrokenHead(t *testing.T) {
 	for name, response := range fakes.BrokenHeads("X-Consul-Index: 3\r\n", `[{"Key":"k","Value":"eA==","ModifyIndex":3}]`) {
 		t.Run("get, "+name, func(t *testing.T) {
-			c := newRawClient(t, respond(response))
+			c := newRawClient(t, fakes.Respond(response))
 			if got, err := c.Get("k"); err == nil {
 				t.Errorf("got %+v, want an error", got)
 			}
@@ -41,7 +33,7 @@
 	}
 	for name, response := range fakes.BrokenHeads("", "true") {
 		t.Run("swap, "+name, func(t *testing.T) {
-			c := newRawClient(t, respond(response))
+			c := newRawClient(t, fakes.Respond(response))
 			written, err := c.Swap("k", []byte("x"), 0)
 			var typed *Error
 			if !errors.As(err, &typed) || typed.Kind != KindAmbiguous {
