agent, entry: the log states why a response was refused

Callers heard that a request may have run, and no line of the log told why: for calls that run at most once at the agent, and for an agent's answer that ended early at the entry.

Cause: the errors were dropped. runClaimed had no line, tryAgent and copyStream none for errors of reading.

Ruled out: errors of sending.

Fix: handleFailure logs for both kinds of call, the entry one line for each answer that ended early.

--- a/agent/job.go
+++ b/agent/job.go
@@ -144,11 +144,11 @@
 	})
 	if r.unsent || r.fenced {
 		a.releaseClaim(log, key, record)
-		a.handleFailure(out, job, r)
+		a.handleFailure(log, out, job, r)
 		return
 	}
 	if !r.complete {
-		a.handleFailure(out, job, r)
+		a.handleFailure(log, out, job, r)
 		return
 	}
 	record.Status = r.status
@@ -208,8 +208,7 @@
 		},
 	})
 	if !r.complete || r.fenced {
-		a.handleFailure(out, job, r)
-		log.Infof("response ended early after %d tokens: %v", r.tokens, r.err)
+		a.handleFailure(log, out, job, r)
 		return r
 	}
 	if firstData.IsZero() || !job.GetStream() {
@@ -220,9 +219,10 @@
 	return r
 }
 
-// handleFailure ends a job without a complete response. If the upstream crashed, a
+// handleFailure ends a job without a complete response, and logs why it is none. If the upstream crashed, a
 // crash record of the job is added.
-func (a *Agent) handleFailure(out *sender, job *wire.Job, r result) {
+func (a *Agent) handleFailure(log *meter.Logger, out *sender, job *wire.Job, r result) {
+	log.Infof("response ended early after %d tokens: %v", r.tokens, r.err)
 	switch {
 	case r.fenced:
 		a.log.Warnf("upstream rejected incarnation %d: a newer agent has replaced this one", a.incarnation.Load())
--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -154,6 +154,7 @@
 		}
 		if err != nil {
 			c.close()
+			e.log.With("request", r.job.GetId()).Infof("answer from %s ended early: %v", name, err)
 			return attemptResult{unresponsive: true}
 		}
 		e.applyState(f.GetState())
--- a/entry/handle.go
+++ b/entry/handle.go
@@ -165,6 +165,7 @@
 		var err error
 		f, err = resp.streamCall.nextFrame(func() bool { return false })
 		if err != nil {
+			e.log.With("request", r.id).Infof("stream from the agent ended early: %v", err)
 			e.abortStream(w, r, events.Count)
 			return
 		}
--- a/entry/head_test.go
+++ b/entry/head_test.go
@@ -1,10 +1,16 @@
 package entry
 
 import (
+	"bufio"
 	"bytes"
+	"strings"
 	"testing"
+	"time"
 
+	"cactustide/burn"
 	"cactustide/fakes"
+	"cactustide/meter"
+	"cactustide/usage"
 	"cactustide/wire"
 )
 
@@ -32,3 +38,27 @@
 		})
 	}
 }
+
+// TestBrokenAnswerLogged checks that the log states why an agent's answer that broke off is none.
+func TestBrokenAnswerLogged(t *testing.T) {
+	for name, contentType := range map[string]string{"body": "text/plain", "stream": "text/event-stream"} {
+		t.Run(name, func(t *testing.T) {
+			address := newFakeAgent(t, &wire.Frame{Kind: wire.FrameKind_HEAD, Status: 200, Type: contentType}, &wire.Frame{Kind: wire.FrameKind_DATA, Data: []byte("data: a\n\n")})
+			e := newDispatchEntry(address)
+			e.counters, e.burn = usage.New(), burn.New()
+			var log, body bytes.Buffer
+			e.log = meter.NewLogger(&log, "info", "json", "entry")
+			r := &request{id: "request-1", job: &wire.Job{Id: "request-1"}, arrivedAt: time.Now()}
+			got := e.tryAgent(r, "a", address, nil)
+			if got.response != nil {
+				e.copyStream(bufio.NewWriter(&body), r, got.response)
+			}
+			if text := log.String(); !strings.Contains(text, "request-1") || !strings.Contains(text, "ended early: ") {
+				t.Errorf("got log %q, want why the answer ended", text)
+			}
+			if contentType == "text/event-stream" && !strings.Contains(body.String(), "event: error") {
+				t.Errorf("got body %q, want an error event", body.String())
+			}
+		})
+	}
+}
