--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -11,7 +11,8 @@
 )
 
 var cases = map[string]func(*world) (broken bool, err error){
-	"drill": runDrill,
+	"drill":  runDrill,
+	"upload": runUpload,
 }
 
 func main() {
--- a/review/stand-3/replica.go
+++ b/review/stand-3/replica.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -9,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -42,7 +44,14 @@
 }
 
 func (w *world) newReplica(id, service, zone string) (*replica, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			if w.window > 0 {
+				_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, w.window)
+			}
+		})
+	}}
+	l, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
@@ -103,9 +112,6 @@
 		h.Set("Cactustide-Replica-Id", r.id)
 		return
 	}
-	if _, err := io.Copy(io.Discard, q.Body); err != nil {
-		return
-	}
 	r.mu.Lock()
 	full := r.busy >= r.slots
 	busy := r.busy
@@ -125,6 +131,11 @@
 		r.busy--
 		r.mu.Unlock()
 	}()
+	if handler == nil {
+		if _, err := io.Copy(io.Discard, q.Body); err != nil {
+			return
+		}
+	}
 	r.world.recordRun(run{
 		replica: r.id, id: id, tenant: q.Header.Get("Cactustide-Tenant"), path: q.URL.Path, at: time.Now(),
 		lastEventID: q.Header.Get("Last-Event-Id"),
--- a/review/stand-3/world.go
+++ b/review/stand-3/world.go
@@ -35,6 +35,8 @@
 	replicas []*replica
 	entries  []*entry
 	ids      atomic.Int64
+	// window is the size of the replicas' receive buffers, bytes; 0 leaves it to the system.
+	window int
 
 	mu      sync.Mutex
 	record  *os.File
