--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -13,6 +13,7 @@
 var cases = map[string]func(*world) (broken bool, err error){
 	"drill":  runDrill,
 	"upload": runUpload,
+	"model":  runModel,
 }
 
 func main() {
--- a/review/stand-3/world.go
+++ b/review/stand-3/world.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -249,7 +250,9 @@
 type request struct {
 	method, path, key, body string
 	stream                  bool
-	limit                   time.Duration
+	// model and shared are the model and the shared part of the prompt of a stream.
+	model, shared string
+	limit         time.Duration
 }
 
 // answer is what a client got.
@@ -281,9 +284,9 @@
 		req.Header.Set("Authorization", "Bearer "+q.key)
 	}
 	if q.stream {
-		req.Header.Set("Cactustide-Model", "m")
-		req.Header.Set("Cactustide-Token-Usage", "460,50")
-		req.Header.Set("Cactustide-Prompt-Prefix", "5c1e07a2:200,"+a.id+":260")
+		req.Header.Set("Cactustide-Model", cmp.Or(q.model, "m"))
+		req.Header.Set("Cactustide-Token-Usage", "4460,50")
+		req.Header.Set("Cactustide-Prompt-Prefix", cmp.Or(q.shared, "5c1e07a2:4200")+","+a.id+":260")
 	}
 	w.note("sent     %s to %s key %s %s", a.id, e.name, q.key, q.path)
 	resp, err := client.Do(req)
@@ -309,6 +312,12 @@
 	resumable                   bool
 }
 
+// engine is what the configuration says of the replicas of a language model.
+var engine = map[string]any{
+	"slots": 48, "kv-capacity-tokens": 444000, "kv-bytes": 131072, "link-mbps": 740000.0, "moves": true, "backups": true, "stride": 5,
+	"most": 12, "pin-ms": 4000.0, "hold-ms": 2000.0, "handle-s": 5.0, "models": []map[string]any{{"name": "m"}},
+}
+
 func encodeConfig(version uint64, routes []route, tenants map[string][]string) []byte {
 	var list []map[string]any
 	for _, r := range routes {
@@ -325,8 +334,9 @@
 	data, _ := json.Marshal(map[string]any{
 		"version": version, "routes": list,
 		"services": []map[string]any{
-			{"name": "huvo11a", "health-path": "/healthz", "max-connections": 300, "protocol": "h1", "tls": false},
+			{"name": "huvo11a", "health-path": "/healthz", "max-connections": 300, "protocol": "h1", "tls": false, "engine": engine},
 			{"name": "wuno96b", "health-path": "/healthz", "max-connections": 110, "protocol": "h1", "tls": false},
+			{"name": "zela27c", "health-path": "/healthz", "max-connections": 300, "protocol": "h1", "tls": false, "engine": engine},
 		},
 		"limits":  map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
 		"tenants": tenantList,
