--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -14,6 +14,7 @@
 	"drill":  runDrill,
 	"upload": runUpload,
 	"model":  runModel,
+	"twice":  runTwice,
 }
 
 func main() {
