review: case 15, copies of a deadly request that come at once count as one crash (BUDGET)

Cause: crashes whose requests overlap in time are counted once. Change: a case; no code of the project.

--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -15,6 +15,7 @@
 	"upload": runUpload,
 	"model":  runModel,
 	"twice":  runTwice,
+	"copies": runCopies,
 }
 
 func main() {
--- a/review/stand-3/replica.go
+++ b/review/stand-3/replica.go
@@ -38,9 +38,14 @@
 	state string
 	busy  int
 	gone  bool
+	// readsLate is set if the handler reads the body itself.
+	readsLate bool
 	// handler, if set, answers in place of the usual one and reports whether it did.
 	handler func(w http.ResponseWriter, q *http.Request) bool
 	stop    chan struct{}
+	// listener and conns are what the process has open.
+	listener net.Listener
+	conns    map[net.Conn]struct{}
 }
 
 func (w *world) newReplica(id, service, zone string) (*replica, error) {
@@ -59,13 +64,31 @@
 		id: id, service: service, zone: zone, address: l.Addr().String(), slots: 16, latency: 20 * time.Millisecond,
 		events: 10, gap: 20 * time.Millisecond, world: w, born: time.Now().UnixMilli(), state: "ready", stop: make(chan struct{}),
 	}
-	server := &http.Server{Handler: http.HandlerFunc(r.handle), ReadHeaderTimeout: time.Minute}
-	go func() { _ = server.Serve(l) }()
+	r.serve(l)
 	w.replicas = append(w.replicas, r)
 	go r.beat()
 	return r, nil
 }
 
+// serve answers on a listener until that is closed.
+func (r *replica) serve(l net.Listener) {
+	r.mu.Lock()
+	r.listener, r.conns = l, map[net.Conn]struct{}{}
+	r.mu.Unlock()
+	server := &http.Server{Handler: http.HandlerFunc(r.handle), ReadHeaderTimeout: time.Minute, ConnState: r.track}
+	go func() { _ = server.Serve(l) }()
+}
+
+func (r *replica) track(c net.Conn, state http.ConnState) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if state == http.StateNew {
+		r.conns[c] = struct{}{}
+	} else if state == http.StateClosed {
+		delete(r.conns, c)
+	}
+}
+
 // beat registers the replica at each heartbeat, and again soon if the store was away.
 func (r *replica) beat() {
 	for {
@@ -128,10 +151,10 @@
 	}
 	defer func() {
 		r.mu.Lock()
-		r.busy--
+		r.busy = max(0, r.busy-1) // A restart has set it to 0.
 		r.mu.Unlock()
 	}()
-	if handler == nil {
+	if !r.readsLate {
 		if _, err := io.Copy(io.Discard, q.Body); err != nil {
 			return
 		}
--- a/review/stand-3/twice.go
+++ b/review/stand-3/twice.go
@@ -43,6 +43,7 @@
 	}
 	log := &workLog{byID: map[string][]work{}}
 	for _, r := range w.replicas {
+		r.readsLate = true
 		r.handler = func(hw http.ResponseWriter, q *http.Request) bool { return r.workSlowly(log, hw, q) }
 	}
 	time.Sleep(200 * time.Millisecond)
--- a/review/stand-3/upload.go
+++ b/review/stand-3/upload.go
@@ -34,6 +34,7 @@
 		return false, err
 	}
 	for _, r := range w.replicas {
+		r.readsLate = true
 		r.handler = r.answerBeforeBody
 	}
 	time.Sleep(200 * time.Millisecond)
