review: case 15 counts only retries of a machine

Cause: the check counted all late arrivals of the deadly request; a client's own repeats are new requests. Change: it counts the arrivals beyond the first of each copy, and names both.

--- a/review/stand-3/copies.go
+++ b/review/stand-3/copies.go
@@ -39,11 +39,17 @@
 	}
 }
 
+// arrival is a copy of the deadly request that reached a replica.
+type arrival struct {
+	id string
+	at time.Time
+}
+
 // crashLog holds when replicas crashed under the deadly request, and when it reached one.
 type crashLog struct {
 	mu       sync.Mutex
 	crashes  []time.Time
-	arrivals []time.Time
+	arrivals []arrival
 }
 
 // runCopies checks BUDGET: a request that crashes the replicas that run it comes again, four times
@@ -98,7 +104,7 @@
 		return false
 	}
 	log.mu.Lock()
-	log.arrivals = append(log.arrivals, time.Now())
+	log.arrivals = append(log.arrivals, arrival{q.Header.Get("Cactustide-Request-Id"), time.Now()})
 	log.mu.Unlock()
 	if !wait(q, deadlyWork) {
 		return true
@@ -143,31 +149,42 @@
 	})
 }
 
-// checkCopies counts the late retries of the deadly request.
+// checkCopies counts the late retries of the deadly request: the arrivals of a client's request
+// beyond its first, as a client's own repeats are new requests.
 func (w *world) checkCopies(log *crashLog) bool {
 	log.mu.Lock()
 	defer log.mu.Unlock()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	late := 0
 	slices.SortFunc(log.crashes, time.Time.Compare)
-	if len(log.crashes) >= 3 {
-		bound := log.crashes[2].Add(contact)
-		for _, at := range log.arrivals {
-			if at.After(bound) {
-				late++
-				w.noteLocked("check    the deadly request reached a replica at %.3f, %.3f s after its third crash", w.since(at), at.Sub(log.crashes[2]).Seconds())
-			}
+	if len(log.crashes) < 3 {
+		fmt.Printf("%d crashes\n", len(log.crashes))
+		return false
+	}
+	third := log.crashes[2]
+	seen := map[string]bool{}
+	late, retries := 0, 0
+	for _, a := range log.arrivals {
+		isRetry := seen[a.id]
+		seen[a.id] = true
+		if !a.at.After(third.Add(contact)) {
+			continue
+		}
+		late++
+		if isRetry {
+			retries++
 		}
+		w.noteLocked("check    %s reached a replica at %.3f, %.3f s after the third crash, retry %t", a.id, w.since(a.at), a.at.Sub(third).Seconds(), isRetry)
 	}
 	lost := 0
 	for _, a := range w.answers {
-		if len(log.crashes) >= 3 && a.path != deadlyPath && a.sentAt.After(log.crashes[2].Add(contact)) && len(w.runs[a.id]) > 0 && a.status != http.StatusOK {
+		if a.path != deadlyPath && a.sentAt.After(third.Add(contact)) && len(w.runs[a.id]) > 0 && a.status != http.StatusOK {
 			lost++
 			w.noteLocked("check    %s ran and got status %d", a.id, a.status)
 		}
 	}
-	w.noteLocked("check    %d crashes, %d late retries (%d allowed); after the bound %d bookings ran and were not answered by their replica", len(log.crashes), late, retriesAllowed, lost)
-	fmt.Printf("%d crashes, %d late retries (%d allowed); after the bound %d bookings ran and were not answered by their replica\n", len(log.crashes), late, retriesAllowed, lost)
-	return late > retriesAllowed
+	result := fmt.Sprintf("%d crashes; later than the bound %d arrivals, of these %d retries (%d allowed), and %d bookings that ran and were not answered by their replica", len(log.crashes), late, retries, retriesAllowed, lost)
+	w.noteLocked("check    %s", result)
+	fmt.Println(result)
+	return retries > retriesAllowed
 }
