review: case 15 has other clients whose work the crashes end

Cause: with four clients at each machine some runs ended without a lost booking, so that the harm of the late crashes was not seen in each run. Change: twelve clients at each machine send bookings; the check is as it was.

--- a/review/stand-3/copies.go
+++ b/review/stand-3/copies.go
@@ -24,7 +24,7 @@
 )
 
 // soundClients is the number of clients of each entry that send other requests.
-const soundClients = 4
+const soundClients = 12
 
 // issue sends requests that may not be repeated to one entry until stop is closed.
 func (w *world) issue(e *entry, stop chan struct{}) {
