direct: the line of a 404 or 401 says on which configuration it rests (CONFIG, DENIED)

Callers saw 404 on routes that had been added; the entry's line had the version in force and nothing else, so that neither its age nor why no newer one was there could be found from the request's id.

The line now has for how long the version has been in force and by which call and item it came, up to which revision the copy is complete, how long ago the store had nothing newer, for how long it has been away, and the highest version that a peer named.

No decision is changed.

--- a/direct/admin.go
+++ b/direct/admin.go
@@ -66,8 +66,8 @@
 	for _, m := range alive {
 		s.Members = append(s.Members, &wire.MemberStatus{Address: m.Address, Centre: m.Centre, Watcher: slices.Contains(watchers, m.Address)})
 	}
-	if at := e.configTime.Load(); at != nil {
-		s.Age = now.Sub(*at).Seconds()
+	if c := e.configOrigin.Load(); c != nil {
+		s.Age = now.Sub(c.at).Seconds()
 	}
 	for i, c := range e.itemCaches {
 		position, _ := c.state()
--- a/direct/entry.go
+++ b/direct/entry.go
@@ -74,7 +74,7 @@
 	quota           *quota.Ledger
 	probing         sync.Map
 	droppedLines    func() int64
-	configTime      atomic.Pointer[time.Time]
+	configOrigin    atomic.Pointer[configOrigin]
 	adminServer     *fasthttp.Server
 	gossiper        *relay.Gossiper
 	itemCaches      []*itemCache
--- a/direct/handle.go
+++ b/direct/handle.go
@@ -276,6 +276,10 @@
 		logger = logger.With("first", q.firstEventTime.Sub(q.arrived).Milliseconds()).With("expected", q.expectedFirst.Milliseconds()).
 			With("pause", q.longestGap.Milliseconds())
 	}
+	switch outcome {
+	case reasonNoRoute, reasonUnknownKey:
+		logger = e.logConfig(now, logger)
+	}
 	if err != nil {
 		logger = logger.With("error", err.Error())
 	}
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -279,7 +279,7 @@
 			}
 		}
 		if process, ok := e.keptLag.due(now, maxLag); ok && e.rules.Version() < e.peerVersion.Load() {
-			e.fetchSnapshot(0, process) // The configuration in force comes with any prefix.
+			e.fetchSnapshot(configPrefix, process) // The configuration in force comes with any prefix.
 		}
 	}
 }
--- a/direct/types.go
+++ b/direct/types.go
@@ -119,7 +119,7 @@
 
 // ItemCodec decodes the items of the store.
 type ItemCodec struct {
-	// Prefixes of the keys to read.
+	// Prefixes of the keys to read. The configuration is under the first one.
 	Prefixes []string
 	Decode   func(store.Item) (Change, error)
 }
--- a/direct/watch.go
+++ b/direct/watch.go
@@ -333,7 +333,7 @@
 		return
 	}
 	now := time.Now()
-	e.configTime.Store(&now)
+	e.configOrigin.Store(&configOrigin{at: now, source: src, position: item.Position})
 	e.keepConfig(item, c.Document.Version)
 	e.observeReleases(now) // The routes may lead to other services now.
 	e.scope.Gauge("version").Update(float64(c.Document.Version))
