direct: 404 and 401 only from a configuration that was confirmed in time (CONFIG, DENIED)

Callers got 404 and 401 for routes and keys that had been added, from an entry that nothing had told of the change: a refusal that ends the caller's attempts, while other entries had the route.

Cause: a route that the copy does not have was taken for a route that does not exist, whatever the age of the copy. Class: absence counted as knowledge. An entry that is cut off from the store and its peers, or whose calls are not answered, kept on refusing from what it had.

Now a 404 or 401 is given while the copy of the configuration was confirmed within the time that a change may take; beyond it the answer is 503 with Retry-After: true, and the caller may find the route at another entry. What the copy has is served as before.

--- a/direct/handle.go
+++ b/direct/handle.go
@@ -67,6 +67,7 @@
 	reasonUnready        = "no configuration yet"
 	reasonNoRoute        = "no route"
 	reasonUnknownKey     = "unknown key"
+	reasonUnconfirmed    = "the configuration may be out of date"
 	reasonHeaderTooLarge = "header too large"
 	reasonBodyTooLarge   = "body too large"
 	reasonInvalid        = "unreadable request"
@@ -135,12 +136,14 @@
 	path, _, _ := strings.Cut(q.target, "?")
 	q.route = table.FindRoute(r.Host, path)
 	if q.route == nil {
-		return q, http.StatusNotFound, reasonNoRoute
+		status, reason := e.refuseUnknown(now, http.StatusNotFound, reasonNoRoute)
+		return q, status, reason
 	}
 	if table.NeedsKey(q.route) {
 		owner, ok := table.FindOwner(q.info.APIKey)
 		if !ok {
-			return q, http.StatusUnauthorized, reasonUnknownKey
+			status, reason := e.refuseUnknown(now, http.StatusUnauthorized, reasonUnknownKey)
+			return q, status, reason
 		}
 		q.owner = owner
 	}
@@ -245,7 +248,7 @@
 func (q *request) retryAfter(reason string) time.Duration {
 	after := minRetryAfter
 	switch reason {
-	case reasonUnready:
+	case reasonUnready, reasonUnconfirmed:
 		after = unreadyRetryAfter
 	case reasonNoUpstream, reasonUnknownOrigin, reasonNoneOfRelease, reasonUpstreamsFull, reasonShed, reasonBodyMemory:
 		after = fullRetryAfter
@@ -277,7 +280,7 @@
 			With("pause", q.longestGap.Milliseconds())
 	}
 	switch outcome {
-	case reasonNoRoute, reasonUnknownKey:
+	case reasonNoRoute, reasonUnknownKey, reasonUnconfirmed:
 		logger = e.logConfig(now, logger)
 	}
 	if err != nil {
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -45,15 +45,21 @@
 	list := make([]*wire.Position, 0, len(e.itemCaches))
 	for _, c := range e.itemCaches {
 		position, digest := c.state()
-		p := &wire.Position{Era: position.Era, Revision: position.Revision, Digest: digest}
-		if age, ok := c.confirmedAge(now); ok && age < maxReportedAge {
-			p.Age = 1 + uint32(age.Milliseconds())
-		}
-		list = append(list, p)
+		list = append(list, &wire.Position{Era: position.Era, Revision: position.Revision, Digest: digest, Age: reportedAge(c, now)})
 	}
 	return list
 }
 
+// reportedAge returns 1 + the time since the store had nothing newer than a copy, ms, as peers are
+// told; 0 if it is not known or too long.
+func reportedAge(c *itemCache, now time.Time) uint32 {
+	age, ok := c.confirmedAge(now)
+	if !ok || age >= maxReportedAge {
+		return 0
+	}
+	return 1 + uint32(age.Milliseconds())
+}
+
 // copyAge returns the time since the store last had nothing newer than the oldest copy, as
 // it told this or another entry.
 func (e *Entry) copyAge(now time.Time) time.Duration {
@@ -75,12 +81,13 @@
 	if prefix >= len(e.itemCaches) {
 		return &wire.SnapshotReply{}
 	}
+	age := reportedAge(e.itemCaches[prefix], time.Now()) // Asked before the items, which may be newer then.
 	items, position, delta := e.itemCaches[prefix].changesAfter(store.Position{Era: req.GetEra(), Revision: req.GetAfter()})
 	if req.GetAfter() == 0 || !delta {
 		items, position = e.itemCaches[prefix].all()
 		delta = false
 	}
-	reply := &wire.SnapshotReply{Era: position.Era, Revision: position.Revision, Delta: delta, Kept: e.keptFor(req.GetVersion())}
+	reply := &wire.SnapshotReply{Era: position.Era, Revision: position.Revision, Delta: delta, Age: age, Kept: e.keptFor(req.GetVersion())}
 	// An entry that the store still turns away cannot tell a lapse from a removal.
 	_, downSince := e.itemCaches[prefix].storeTimes()
 	if age, ok := e.fleet.OutageAge(time.Now()); ok && downSince.IsZero() {
@@ -300,7 +307,9 @@
 func (e *Entry) fetchSnapshot(prefix int, process uint64) {
 	address := e.gossiper.PeerAddress(process)
 	logger := e.log.With("prefix", e.codec.Prefixes[prefix]).With("peer", address)
-	before, _ := e.itemCaches[prefix].state()
+	c := e.itemCaches[prefix]
+	before, _ := c.state()
+	began := time.Now()
 	reply, err := e.gossiper.FetchSnapshot(address, &wire.SnapshotRequest{
 		Prefix: uint32(prefix), Era: before.Era, After: before.Revision, Version: e.rules.Version(),
 	})
@@ -313,7 +322,12 @@
 		e.handleItem(now, sourcePeer, decodeItem(kept, reply.GetEra()), false)
 	}
 	position := store.Position{Era: reply.GetEra(), Revision: reply.GetRevision()}
-	if mine, _ := e.itemCaches[prefix].state(); !mine.Before(position) {
+	defer func() {
+		if mine, _ := c.state(); reply.GetAge() > 0 && mine.Era == position.Era && !mine.Before(position) {
+			c.confirm(began.Add(-time.Duration(reply.GetAge()-1) * time.Millisecond))
+		}
+	}()
+	if mine, _ := c.state(); !mine.Before(position) {
 		return
 	}
 	if reply.GetOutage() > 0 {
--- a/direct/refuse.go
+++ b/direct/refuse.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"net/http"
 	"time"
 
 	"cactustide/meter"
@@ -34,3 +35,27 @@
 	}
 	return logger
 }
+
+// defaultApplyTimeout is used where the settings name no time within which a change must be in
+// force.
+const defaultApplyTimeout = 2 * time.Second
+
+// isConfigConfirmed reports whether the entry has each configuration that must be in force by now.
+func (e *Entry) isConfigConfirmed(now time.Time) bool {
+	limit := e.settings.Load().ApplyTimeout
+	if limit == 0 {
+		limit = defaultApplyTimeout
+	}
+	age, ok := e.itemCaches[configPrefix].confirmedAge(now)
+	return ok && age <= limit
+}
+
+// refuseUnknown returns the status and the reason for a request whose route or key the
+// configuration in force does not have. A newer one may have it if this one was not confirmed for
+// long: then the caller may find it at another entry.
+func (e *Entry) refuseUnknown(now time.Time, status int, reason string) (int, string) {
+	if e.isConfigConfirmed(now) {
+		return status, reason
+	}
+	return http.StatusServiceUnavailable, reasonUnconfirmed
+}
--- a/direct/refuse_test.go
+++ b/direct/refuse_test.go
@@ -4,11 +4,21 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
+	"time"
+
+	"cactustide/platform/stand"
 )
 
+// applyTime is the platform's config-apply-ms.
+const applyTime = 2 * time.Second
+
+// addedRoute is on no route of the first configuration.
+var addedRoute = stand.Route{Host: testHost, Prefix: "/added/", Kind: "idempotent", Service: "desk", Timeout: time.Second, MaxAttempts: 2}
+
 // logBuffer keeps what entries log.
 type logBuffer struct {
 	mu   sync.Mutex
@@ -79,3 +89,87 @@
 		})
 	}
 }
+
+// TestRefusalUnconfirmed guards against a refusal as if a route or key did not exist (404, 401) by
+// an entry that cannot know: what was written while nothing confirmed its copy for longer than a
+// change may take (CONFIG, DENIED).
+func TestRefusalUnconfirmed(t *testing.T) {
+	const newKey = "key-new"
+	added := stand.EncodeConfig(2, append([]stand.Route{addedRoute}, testRoutes...), []string{"desk"}, map[string][]string{"team-one": {testKey, newKey}})
+	tests := map[string]struct {
+		entries int
+		// begin begins what keeps the change from the entries, end ends it.
+		begin, end func(s *testStack)
+		// known is set if the entries have the change all the same.
+		known bool
+	}{
+		"control, nothing": {entries: 2, begin: func(*testStack) {}, end: func(*testStack) {}, known: true},
+		"one of two is cut off from the store": {
+			entries: 2, known: true,
+			begin: func(s *testStack) { s.entries[0].storeCut.Store(true) },
+			end:   func(s *testStack) { s.entries[0].storeCut.Store(false) },
+		},
+		"alone and cut off from the store": {
+			entries: 1,
+			begin:   func(s *testStack) { s.entries[0].storeCut.Store(true) },
+			end:     func(s *testStack) { s.entries[0].storeCut.Store(false) },
+		},
+		"all are cut off from the store": {
+			entries: 3,
+			begin: func(s *testStack) {
+				for _, e := range s.entries {
+					e.storeCut.Store(true)
+				}
+			},
+			end: func(s *testStack) {
+				for _, e := range s.entries {
+					e.storeCut.Store(false)
+				}
+			},
+		},
+		"the store answers nobody": {
+			entries: 2,
+			begin:   func(s *testStack) { s.store.SetFaults(stand.StoreFaults{NoResponse: true}) },
+			end:     func(s *testStack) { s.store.SetFaults(stand.StoreFaults{}) },
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newStackOf(t, stackOptions{entries: test.entries, fullWait: true})
+			test.begin(s)
+			time.Sleep(time.Second) // Calls from before have ended.
+			s.store.Put("op/config", added)
+			acknowledged := time.Now()
+			time.Sleep(applyTime)
+			requests := map[string]callerRequest{
+				"added route": {method: http.MethodGet, path: "/added/a", key: testKey},
+				"added key":   {method: http.MethodGet, path: "/read/a", key: newKey},
+			}
+			for time.Since(acknowledged) < applyTime+2500*time.Millisecond {
+				for i, e := range s.entries {
+					for what, request := range requests {
+						got := s.send(context.Background(), e, request).status
+						if got == http.StatusNotFound || got == http.StatusUnauthorized || test.known && got != http.StatusOK {
+							t.Fatalf("entry %d, %s: got %d %v after it was written, known %v", i, what, got, time.Since(acknowledged), test.known)
+						}
+					}
+					if got := s.send(context.Background(), e, callerRequest{path: "/read/a", key: testKey}).status; got != http.StatusOK {
+						t.Errorf("entry %d: got %d on a route that all have, want 200", i, got)
+					}
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+			test.end(s)
+			time.Sleep(contactTime)
+			for i, e := range s.entries {
+				if got := s.send(context.Background(), e, requests["added route"]).status; got != http.StatusOK {
+					t.Errorf("entry %d: got %d on the added route %v after the end, want 200", i, got, contactTime)
+				}
+				if got := s.send(context.Background(), e, callerRequest{path: "/none/a", key: testKey}).status; got != http.StatusNotFound {
+					t.Errorf("entry %d: got %d on no route %v after the end, want 404", i, got, contactTime)
+				}
+			}
+		})
+	}
+}
