direct: a copy is confirmed as of when the store can have answered, not of when the answer is read (CONFIG, ORDER)

An entry that stood still, or whose answer was late, read an old answer of the store and called its copy current from then on: it refused added routes as unknown for up to 2 s more, told its peers the same age, and counted as seeing all registrations (streams went on at a release inferred from that).

Cause: the confirmation was dated at the time of reading. It is dated now from the begin of the call; for a watch that ended without a change after its whole wait, from the end of the wait, before which the store does not answer.

Evidence: TestRefusalUnconfirmed/answers_are_read_late: with the old date 404 on a route 3.0 s after it was written, with the new one 503 until it is there. What a peer says of its age is still dated when the datagram is read.

--- a/direct/order_test.go
+++ b/direct/order_test.go
@@ -244,7 +244,7 @@
 		s.write()
 	case draw < 7:
 		w := s.watchers[s.random.IntN(len(s.watchers))]
-		_ = w.poll() // An error is a lost answer.
+		_ = w.poll(time.Now()) // An error is a lost answer.
 	case draw < 8:
 		from, prefix := s.random.IntN(2), s.random.IntN(2)
 		items, position := s.entries[from].itemCaches[prefix].all()
@@ -328,7 +328,7 @@
 	}
 	for range polls {
 		for _, w := range s.watchers {
-			if err := w.poll(); err != nil {
+			if err := w.poll(time.Now()); err != nil {
 				s.t.Fatalf("seed %d: got error %v on a calm store", seed, err)
 			}
 		}
--- a/direct/refuse_test.go
+++ b/direct/refuse_test.go
@@ -132,6 +132,11 @@
 			begin:   func(s *testStack) { s.store.SetFaults(stand.StoreFaults{NoResponse: true}) },
 			end:     func(s *testStack) { s.store.SetFaults(stand.StoreFaults{}) },
 		},
+		"answers are read late": {
+			entries: 1,
+			begin:   func(s *testStack) { s.entries[0].readLate.Store(int64(3 * time.Second)) },
+			end:     func(s *testStack) { s.entries[0].readLate.Store(0) },
+		},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/direct/stack_test.go
+++ b/direct/stack_test.go
@@ -63,6 +63,8 @@
 	*direct.Entry
 	settings *setup.DirectSettings
 	storeCut atomic.Bool
+	// readLate is for how long the answers to watches lie unread, ns.
+	readLate atomic.Int64
 	closed   bool
 }
 
@@ -177,6 +179,7 @@
 			wait = min(wait, 100*time.Millisecond)
 		}
 		changes, err := watch(prefix, after, wait)
+		time.Sleep(time.Duration(e.readLate.Load()))
 		if e.storeCut.Load() {
 			return store.Changes{}, errCut
 		}
--- a/direct/watch.go
+++ b/direct/watch.go
@@ -50,7 +50,7 @@
 			continue
 		}
 		began := time.Now()
-		err := e.callWithContext(ctx, w.poll)
+		err := e.callWithContext(ctx, func() error { return w.poll(began) })
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -99,6 +99,8 @@
 	changed bool
 	// lastCall is when the store last answered this entry.
 	lastCall time.Time
+	// answeredFrom is the earliest time at which the store can have made its last answer.
+	answeredFrom time.Time
 	// downSince is when the store stopped responding; zero while it responds.
 	downSince time.Time
 	// failures counts the failed calls in a row.
@@ -114,11 +116,11 @@
 // call may be cut, refused or left unanswered by a store that serves the next one.
 const outageFailures = 2
 
-// poll lists the items or waits once for changes.
-func (w *prefixWatcher) poll() error {
+// poll lists the items or waits once for changes, in a call that begins now.
+func (w *prefixWatcher) poll(now time.Time) error {
 	e := w.entry
 	prefix := e.codec.Prefixes[w.prefix]
-	w.changed = false
+	w.changed, w.answeredFrom = false, now
 	// Peers may have brought the copy further.
 	position, _ := e.itemCaches[w.prefix].state()
 	w.position = store.Later(w.position, position)
@@ -162,6 +164,9 @@
 		return nil
 	}
 	w.changed = len(changes.Items) > 0
+	if end := now.Add(wait); !w.changed && !time.Now().Before(end) {
+		w.answeredFrom = end // The store waits until then for a change.
+	}
 	e.applyChanges(time.Now(), w.prefix, sourceWatch, changes)
 	w.position = store.Later(w.position, changes.Position)
 	return nil
@@ -208,7 +213,8 @@
 		w.entry.itemCaches[w.prefix].setDownSince(time.Time{})
 		w.entry.itemCaches[w.prefix].setLastResponse(now)
 		if w.listed {
-			w.entry.itemCaches[w.prefix].confirm(now)
+			// The answer may have waited for long to be read, as in a process that stood still.
+			w.entry.itemCaches[w.prefix].confirm(w.answeredFrom)
 		}
 		w.lastCall = now
 		return
