--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -155,10 +155,11 @@
 // encodeHead returns the head of the request to an upstream.
 func (e *Entry) encodeHead(q *request, to fleet.Upstream, lastEventID string) []byte {
 	h := q.header.Clone()
-	removeHopByHop(h)
+	removeHopByHop(h, e.headers.EndToEnd)
 	h.Del("Expect")
 	h.Del("Content-Length")
 	e.headers.EncodeForward(h, ForwardInfo{
+		ID:          q.info.ID,
 		Upstream:    to.ID,
 		Timeout:     time.Until(q.deadline),
 		Team:        q.owner.Team,
@@ -385,10 +386,13 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
-func removeHopByHop(h http.Header) {
+// removeHopByHop removes the fields that apply to a single connection, and those that the Connection
+// field names unless they are meant for the recipient of the message.
+func removeHopByHop(h http.Header, endToEnd []string) {
 	for _, list := range h["Connection"] {
 		for _, name := range strings.Split(list, ",") {
-			if name = textproto.TrimString(name); name != "" {
+			name = textproto.CanonicalMIMEHeaderKey(textproto.TrimString(name))
+			if name != "" && !slices.Contains(endToEnd, name) {
 				h.Del(name)
 			}
 		}
--- a/direct/response.go
+++ b/direct/response.go
@@ -22,9 +22,9 @@
 
 // copyHead copies an upstream's status and headers to the caller. A negative length
 // means that it is unknown.
-func copyHead(w http.ResponseWriter, x *exchange, length int) {
+func (e *Entry) copyHead(w http.ResponseWriter, x *exchange, length int) {
 	h := x.resp.Header.Clone()
-	removeHopByHop(h)
+	removeHopByHop(h, e.headers.EndToEnd)
 	h.Del("Content-Length")
 	out := w.Header()
 	for name, values := range h {
@@ -60,12 +60,12 @@
 			e.recordRun(time.Now(), q, x)
 		}
 		x.finish()
-		copyHead(w, x, len(data))
+		e.copyHead(w, x, len(data))
 		_, err = w.Write(data)
 		e.logResult(q, x.resp.StatusCode, "answered", err)
 		return true
 	}
-	copyHead(w, x, int(x.resp.ContentLength))
+	e.copyHead(w, x, int(x.resp.ContentLength))
 	rest := &bodyReader{reader: x.resp.Body}
 	_, err = w.Write(data)
 	if err == nil {
@@ -253,7 +253,7 @@
 		}
 		if !state.responseStarted {
 			e.keepOrigin(now, q, x.to)
-			copyHead(w, x, -1)
+			e.copyHead(w, x, -1)
 			state.responseStarted = true
 			q.firstEventTime = now
 			e.scope.Timer("first").Record(now.Sub(q.arrived))
@@ -304,7 +304,7 @@
 // endStream completes the response after the stream ended without an error.
 func (e *Entry) endStream(w http.ResponseWriter, q *request, state *forwardState, x *exchange, count int) bool {
 	if !state.responseStarted {
-		copyHead(w, x, -1)
+		e.copyHead(w, x, -1)
 		state.responseStarted = true
 	}
 	x.finish()
--- a/direct/types.go
+++ b/direct/types.go
@@ -64,6 +64,8 @@
 
 // ForwardInfo is what the entry sets in the headers of a forwarded request.
 type ForwardInfo struct {
+	// ID of the caller's attempt, as the caller sent it.
+	ID       string
 	Upstream string
 	Timeout  time.Duration
 	Team     string
@@ -101,7 +103,10 @@
 	ReadyPath     string
 	DecodeRequest func(http.Header) RequestInfo
 	// EncodeForward removes the headers that only the system may set, then sets them.
-	EncodeForward  func(http.Header, ForwardInfo)
+	EncodeForward func(http.Header, ForwardInfo)
+	// EndToEnd are the fields, in canonical form, that reach the upstream also if the
+	// Connection field names them.
+	EndToEnd       []string
 	DecodeResponse func(http.Header) ResponseInfo
 	// EncodeRequestID sets the id of the request in a response that the entry itself makes.
 	EncodeRequestID func(http.Header, string)
