--- a/direct/caller.go
+++ b/direct/caller.go
@@ -52,11 +52,13 @@
 	}
 }
 
-// closeIfIdle closes the connection unless a request has begun to arrive.
-func (c *callerConn) closeIfIdle() {
-	if c.state.CompareAndSwap(connIdle, connClosed) {
-		_ = c.Close() // The connection carries no request.
+// closeIfIdle closes the connection unless a request has begun to arrive, and reports whether it did.
+func (c *callerConn) closeIfIdle() bool {
+	if !c.state.CompareAndSwap(connIdle, connClosed) {
+		return false
 	}
+	_ = c.Close() // The connection carries no request.
+	return true
 }
 
 // headTimedOut reports whether a head has taken longer than timeout; 0 means none.
--- a/direct/entry.go
+++ b/direct/entry.go
@@ -280,7 +280,7 @@
 
 // isReady reports whether the entry should receive traffic.
 func (e *Entry) isReady() bool {
-	return !e.stopping.Load() && e.rules.Get() != nil && e.fleet.Count() > 0
+	return !e.stopping.Load() && e.rules.Get() != nil && e.fleet.Count() > 0 && !e.callerConns.isFull()
 }
 
 // sweep periodically closes idle connections, removes upstreams whose registration
--- a/direct/limits.go
+++ b/direct/limits.go
@@ -20,8 +20,9 @@
 	// maxIdleTimeout is the longest idle timeout configured so far; callers may still
 	// apply it.
 	maxIdleTimeout time.Duration
-	// open counts the connections; above limit, new ones are closed unread, which makes
-	// callers try another entry.
+	// open counts the connections. Above limit a new one takes the place of the one that was
+	// idle for longest; without an idle one it is closed unread, which makes callers try another
+	// entry.
 	open  int
 	limit int
 }
@@ -39,7 +40,7 @@
 	}
 	switch state {
 	case http.StateNew:
-		if t.open++; t.open > t.limit {
+		if t.open++; t.open > t.limit && !t.closeLongestIdle() {
 			_ = c.Close() // Nothing was read from it.
 		}
 		return
@@ -52,6 +53,34 @@
 	delete(t.idleSince, c)
 }
 
+// closeLongestIdle closes the connection that was idle for longest, and reports whether there was
+// one. The caller holds the lock.
+func (t *connTracker) closeLongestIdle() bool {
+	for {
+		var longest *callerConn
+		var since time.Time
+		for c, at := range t.idleSince {
+			if caller, ok := c.(*callerConn); ok && (longest == nil || at.Before(since)) {
+				longest, since = caller, at
+			}
+		}
+		if longest == nil {
+			return false
+		}
+		delete(t.idleSince, longest)
+		if longest.closeIfIdle() {
+			return true
+		}
+	}
+}
+
+// isFull reports whether new connections are closed.
+func (t *connTracker) isFull() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.open >= t.limit && len(t.idleSince) == 0
+}
+
 // sweep closes the connections that were idle for longer than idleTimeoutFactor times
 // the longest idle timeout, and those on which a head has taken longer than
 // headTimeout. An idleTimeout of 0 closes all idle connections; a headTimeout of 0
