retry: the retry budget does not begin anew when the time of day is set (BUDGET)

Within a window an entry whose clock was set forward made its share of the retries twice: buckets were numbered by the time of day, so that a step forward cleared them. A step back left the budget empty until the clock had caught up.

Buckets are counted from the begin of the budget now, by the monotonic clock. Found when asking where something counts as absent because it was not seen. TestWindowClockStep: forward 16 retries in a window where 8 are allowed, back none after the window, before; 8 and some now. What a process that has just started used before is still not known to it.

--- a/direct/entry.go
+++ b/direct/entry.go
@@ -131,7 +131,7 @@
 		fleet:           fleet.NewRegistry(),
 		balancer:        place.New(place.Settings{RecomputeWindow: s.RecomputeWindow}),
 		pool:            conn.NewPool(),
-		budget:          retry.NewWindowBudget(s.RetryRatio, s.RetrySlack, s.RetryWindow),
+		budget:          retry.NewWindowBudget(time.Now(), s.RetryRatio, s.RetrySlack, s.RetryWindow),
 		aborts:          retry.NewAbortTracker(),
 		requestEvidence: retry.NewRequestEvidence(),
 		partEvidence:    retry.NewPartEvidence(),
--- a/retry/window.go
+++ b/retry/window.go
@@ -20,20 +20,23 @@
 	ratio        float64
 	slack        float64
 	bucketLength time.Duration
-	services     map[string]*serviceCounts
+	// start is the begin of the first bucket. The time of day may be set meanwhile, so that buckets
+	// are counted from here.
+	start    time.Time
+	services map[string]*serviceCounts
 }
 
 type serviceCounts struct {
 	requests [windowBuckets]int
 	retries  [windowBuckets]int
-	// newest is the number of the newest bucket since the Unix epoch.
+	// newest is the number of the newest bucket.
 	newest int64
 }
 
 // NewWindowBudget returns the retry budget of one entry. slack is a number of
 // retries.
-func NewWindowBudget(ratio, slack float64, window time.Duration) *WindowBudget {
-	return &WindowBudget{ratio: ratio, slack: slack, bucketLength: window / (windowBuckets - 1), services: map[string]*serviceCounts{}}
+func NewWindowBudget(now time.Time, ratio, slack float64, window time.Duration) *WindowBudget {
+	return &WindowBudget{ratio: ratio, slack: slack, bucketLength: window / (windowBuckets - 1), start: now, services: map[string]*serviceCounts{}}
 }
 
 // Set changes the ratio and the slack at run time.
@@ -49,7 +52,7 @@
 		c = &serviceCounts{}
 		w.services[service] = c
 	}
-	bucket := now.UnixNano() / int64(max(1, w.bucketLength))
+	bucket := int64(now.Sub(w.start) / max(1, w.bucketLength))
 	for steps := min(bucket-c.newest, windowBuckets); steps > 0; steps-- {
 		i := (bucket - steps + 1) % windowBuckets
 		c.requests[i], c.retries[i] = 0, 0
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 	"time"
+	"unsafe"
 
 	"pgregory.net/rapid"
 )
@@ -13,8 +14,8 @@
 	rapid.Check(t, func(t *rapid.T) {
 		const window = 10 * time.Second
 		entries := rapid.IntRange(1, 5).Draw(t, "entries")
-		w := NewWindowBudget(0.2, 56, window)
 		now := time.Unix(1000, 0)
+		w := NewWindowBudget(now, 0.2, 56, window)
 		var requests, retries []time.Time
 		for range rapid.IntRange(50, 800).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
@@ -45,8 +46,8 @@
 }
 
 func TestWindowServices(t *testing.T) {
-	w := NewWindowBudget(0, 10, time.Second)
 	now := time.Unix(1000, 0)
+	w := NewWindowBudget(now, 0, 10, time.Second)
 	for range 8 {
 		if !w.TryWithdraw(now, "a", 1) {
 			t.Fatal("got no budget within the slack, want some")
@@ -62,3 +63,46 @@
 		t.Error("got no budget in a later window, want some")
 	}
 }
+
+// TestWindowClockStep guards against a budget that begins anew when the time of day is set (BUDGET).
+func TestWindowClockStep(t *testing.T) {
+	for name, step := range map[string]time.Duration{"none": 0, "forward": 30 * time.Second, "back": -30 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			start := time.Now()
+			w := NewWindowBudget(start, 0, 10, 10*time.Second)
+			got := 0
+			for i := range 40 {
+				now := start.Add(time.Duration(i) * 100 * time.Millisecond)
+				if i >= 20 {
+					now = stepClock(t, now, step)
+				}
+				if w.TryWithdraw(now, "s", 1) {
+					got++
+				}
+			}
+			if want := 8; got != want { // 0.8 of the slack.
+				t.Errorf("got %d retries within a window, want %d", got, want)
+			}
+			if later := stepClock(t, start.Add(15*time.Second), step); !w.TryWithdraw(later, "s", 1) {
+				t.Error("got no budget after the window, want some")
+			}
+		})
+	}
+}
+
+// stepClock returns a time whose time of day is later by some seconds, and whose monotonic reading is
+// the same.
+func stepClock(t *testing.T, at time.Time, step time.Duration) time.Time {
+	t.Helper()
+	const secondsShift = 30 // Below the seconds are the nanoseconds.
+	stepped := at
+	wall := (*uint64)(unsafe.Pointer(&stepped))
+	*wall += uint64(step/time.Second) << secondsShift
+	if got := stepped.Sub(at); got != 0 {
+		t.Fatalf("got %v between the monotonic readings, want 0", got)
+	}
+	if got := time.Duration(stepped.UnixNano() - at.UnixNano()); got != step {
+		t.Fatalf("got %v between the times of day, want %v", got, step)
+	}
+	return stepped
+}
