direct: the time limit of a head does not depend on the time of day

When the clock of a host was set forward, connections whose head was arriving were closed as too slow; set back, a slow head was waited for without end. The limit is counted from the accept of the connection by the monotonic clock now.

--- a/direct/caller.go
+++ b/direct/caller.go
@@ -22,12 +22,17 @@
 // arrive, and when.
 type callerConn struct {
 	net.Conn
-	state atomic.Int32
-	// headStarted is when the first byte of a head was read, Unix time in nanoseconds;
+	state    atomic.Int32
+	openedAt time.Time
+	// headStarted is when the first byte of a head was read, nanoseconds since openedAt;
 	// 0 before that and once the head is complete.
 	headStarted atomic.Int64
 }
 
+func newCallerConn(now time.Time, c net.Conn) *callerConn {
+	return &callerConn{Conn: c, openedAt: now}
+}
+
 // Read records the first byte of a head. Bytes that arrive after closeIfIdle count
 // as not read, so that the caller may send the request again.
 func (c *callerConn) Read(b []byte) (int, error) {
@@ -36,7 +41,7 @@
 		return n, err
 	}
 	if c.state.CompareAndSwap(connIdle, connBusy) {
-		c.headStarted.Store(time.Now().UnixNano())
+		c.headStarted.Store(max(1, int64(time.Since(c.openedAt))))
 	} else if c.state.Load() == connClosed {
 		return 0, io.EOF
 	}
@@ -64,7 +69,7 @@
 // headTimedOut reports whether a head has taken longer than timeout; 0 means none.
 func (c *callerConn) headTimedOut(now time.Time, timeout time.Duration) bool {
 	started := c.headStarted.Load()
-	return started != 0 && timeout > 0 && now.UnixNano()-started > int64(timeout)
+	return started != 0 && timeout > 0 && now.Sub(c.openedAt)-time.Duration(started) > timeout
 }
 
 // resetOnClose makes the connection end with a reset when it is closed.
@@ -100,5 +105,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: c}, nil
+	return newCallerConn(time.Now(), c), nil
 }
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -3,9 +3,10 @@
 import (
 	"testing"
 	"time"
-	"unsafe"
 
 	"pgregory.net/rapid"
+
+	"cactustide/fakes"
 )
 
 // TestWindowBound checks that the retries in every window stay within the limit
@@ -74,7 +75,7 @@
 			for i := range 40 {
 				now := start.Add(time.Duration(i) * 100 * time.Millisecond)
 				if i >= 20 {
-					now = stepClock(t, now, step)
+					now = fakes.StepClock(now, step)
 				}
 				if w.TryWithdraw(now, "s", 1) {
 					got++
@@ -83,26 +84,9 @@
 			if want := 8; got != want { // 0.8 of the slack.
 				t.Errorf("got %d retries within a window, want %d", got, want)
 			}
-			if later := stepClock(t, start.Add(15*time.Second), step); !w.TryWithdraw(later, "s", 1) {
+			if later := fakes.StepClock(start.Add(15*time.Second), step); !w.TryWithdraw(later, "s", 1) {
 				t.Error("got no budget after the window, want some")
 			}
 		})
 	}
 }
-
-// stepClock returns a time whose time of day is later by some seconds, and whose monotonic reading is
-// the same.
-func stepClock(t *testing.T, at time.Time, step time.Duration) time.Time {
-	t.Helper()
-	const secondsShift = 30 // Below the seconds are the nanoseconds.
-	stepped := at
-	wall := (*uint64)(unsafe.Pointer(&stepped))
-	*wall += uint64(step/time.Second) << secondsShift
-	if got := stepped.Sub(at); got != 0 {
-		t.Fatalf("got %v between the monotonic readings, want 0", got)
-	}
-	if got := time.Duration(stepped.UnixNano() - at.UnixNano()); got != step {
-		t.Fatalf("got %v between the times of day, want %v", got, step)
-	}
-	return stepped
-}
