--- a/direct/service_test.go
+++ b/direct/service_test.go
@@ -18,7 +18,7 @@
 // serviceWalk is an entry whose upstreams of several services hold the same parts of prompts, and
 // come, go and move between services.
 type serviceWalk struct {
-	t      *testing.T
+	t      testing.TB
 	random *rand.Rand
 	entry  *Entry
 	now    time.Time
@@ -28,7 +28,7 @@
 	revision uint64
 }
 
-func newServiceWalk(t *testing.T, seed uint64, services, upstreams int) *serviceWalk {
+func newServiceWalk(t testing.TB, seed uint64, services, upstreams int) *serviceWalk {
 	m := meter.New("test")
 	t.Cleanup(m.Close)
 	w := &serviceWalk{t: t, random: rand.New(rand.NewPCG(seed, 54)), now: time.Unix(1000, 0), count: upstreams}
