--- a/direct/stack_test.go
+++ b/direct/stack_test.go
@@ -54,6 +54,8 @@
 	first bool
 	// hideEra makes a store that names no era in its answers.
 	hideEra bool
+	// storeAddresses gives each entry its own address of the store.
+	storeAddresses bool
 	// log is where the entries log to; nil means testOutput.
 	log io.Writer
 }
@@ -133,6 +135,12 @@
 	if s.options.maxSockets > 0 {
 		settings.MaxSockets = s.options.maxSockets
 	}
+	if s.options.storeAddresses {
+		var err error
+		if settings.Store, err = s.store.Listen("127.0.0.1:0"); err != nil {
+			s.t.Fatal(err)
+		}
+	}
 	for _, other := range s.entries {
 		settings.Seeds = append(settings.Seeds, other.settings.Peer)
 	}
@@ -142,7 +150,7 @@
 	m := meter.New(settings.Name)
 	s.t.Cleanup(m.Close)
 	e := &testEntry{settings: settings}
-	client := e.cuttableStore(platform.NewStoreClient(s.store.Address, m.CountPlatformCall), s.options.fullWait)
+	client := e.cuttableStore(platform.NewStoreClient(settings.Store, m.CountPlatformCall), s.options.fullWait)
 	output := s.options.log
 	if output == nil {
 		output = testOutput()
