platform: an answer of the store that arrives slowly is read to its end (CONFIG, DENIED)

Callers got 503, and before the check of the copy's age 404 and 401, for a route of a configuration that had been acknowledged, from all entries and for as long as the configuration was that large: over a link of 4 Mbit/s one of 900 KB (1.2 MB as base64) was not in force at any time.

Cause: a call had a fixed time until its last byte (a page of a listing 0.8 s, a watch its wait and 0.7 s). An answer that takes longer never arrived: the entry closed the connection and asked for the same bytes again, its peers on the same link too. Class: a bound on the duration where one on silence is meant.

Now the time of a call bounds the first 8 KiB of its answer, and each further 8 KiB have 0.7 s: a store that is dead, silent or sends a few bytes at a time is given up as soon as before, one that stands still midway 0.7 s after it did (it was at the end of the call's time), and the least rate, 11.7 KB/s, bounds the whole. An answer of less than 8 KiB has exactly the time that it had. The bound of 8 MB stays.

Evidence: TestConfigDelivery, 12 new rows with a link. One of two entries on the slow link held before: its peer has the version and passes it on.

--- a/dial/dial.go
+++ b/dial/dial.go
@@ -24,7 +24,17 @@
 	idleTimeout time.Duration
 	// readDeadline bounds all reads; zero means no bound.
 	readDeadline time.Time
-	response     head.Scanner
+	// progress extends readDeadline; arrived counts the bytes since it last did.
+	progress Progress
+	arrived  int
+	response head.Scanner
+}
+
+// Progress is the slowest rate at which a response may arrive beyond the read deadline: whenever
+// Bytes of it have arrived, reads have Window from then on. The zero value extends nothing.
+type Progress struct {
+	Bytes  int
+	Window time.Duration
 }
 
 // Open connects to address. A read without data for idleTimeout fails. Opening
@@ -40,6 +50,7 @@
 // Write writes a part of a request. What is read next is its response.
 func (c *Conn) Write(p []byte) (int, error) {
 	c.response.Reset()
+	c.arrived = 0
 	return c.Conn.Write(p)
 }
 
@@ -62,12 +73,30 @@
 		}
 	}
 	n, err := c.Conn.Read(p)
+	if extendErr := c.extend(n); extendErr != nil && err == nil {
+		err = extendErr
+	}
 	if checked, headErr := c.response.Scan(p[:n]); headErr != nil {
 		return checked, headErr
 	}
 	return n, err
 }
 
+// extend moves the read deadline after bytes have arrived.
+func (c *Conn) extend(n int) error {
+	if c.progress.Bytes == 0 || c.readDeadline.IsZero() {
+		return nil
+	}
+	if c.arrived += n; c.arrived < c.progress.Bytes {
+		return nil
+	}
+	c.arrived = 0
+	if next := time.Now().Add(c.progress.Window); next.After(c.readDeadline) {
+		return c.SetReadDeadline(next)
+	}
+	return nil
+}
+
 // WriteTimeout is how long a write to a caller or an entry may make no progress.
 const WriteTimeout = 30 * time.Second
 
@@ -138,7 +167,11 @@
 
 // OpenKeepAlive connects to address with frequent TCP keep-alive probes, for
 // connections that wait long for a response. Opening fails after Timeout.
-func OpenKeepAlive(address string) (net.Conn, error) {
+func OpenKeepAlive(address string) (net.Conn, error) { return OpenProgress(address, Progress{}) }
+
+// OpenProgress connects like OpenKeepAlive. A response that arrives at the rate of progress may
+// outlast the read deadline.
+func OpenProgress(address string, progress Progress) (net.Conn, error) {
 	d := net.Dialer{
 		Timeout:         Timeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
@@ -147,5 +180,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{Conn: conn}, nil
+	return &Conn{Conn: conn, progress: progress}, nil
 }
--- a/direct/delivery_test.go
+++ b/direct/delivery_test.go
@@ -143,6 +143,18 @@
 		"one entry is cut off":           {entries: 2, cut: true},
 		"one entry reads late":           {entries: 2, late: time.Second},
 		"an entry starts":                {entries: 1, joins: true},
+		"4 Mbit/s":                       {entries: 1, way: slow(4 * mbit), bits: 4 * mbit},
+		"10 Mbit/s":                      {entries: 1, way: slow(10 * mbit), bits: 10 * mbit},
+		"4 Mbit/s, all four":             {entries: 4, way: slow(4 * mbit), bits: 4 * mbit},
+		"10 Mbit/s, all four":            {entries: 4, way: slow(10 * mbit), bits: 10 * mbit},
+		"4 Mbit/s, one is cut off":       {entries: 2, way: slow(4 * mbit), bits: 4 * mbit, cut: true},
+		"4 Mbit/s, an entry starts":      {entries: 1, way: slow(4 * mbit), bits: 4 * mbit, joins: true},
+		"4 Mbit/s, history dropped":      {entries: 1, way: slow(4 * mbit), bits: 4 * mbit, compact: true},
+		"4 Mbit/s, many pages":           {entries: 1, way: slow(4 * mbit), bits: 4 * mbit, compact: true, items: 100, itemBytes: 4 << 10},
+		"4 Mbit/s, many versions":        {entries: 1, way: slow(4 * mbit), bits: 4 * mbit, versions: 4},
+		"4 Mbit/s, at the wait's end":    {entries: 1, way: stand.Delivery{Held: true, Link: stand.NewLink(4 * mbit)}, bits: 4 * mbit},
+		"4 Mbit/s, small pieces":         {entries: 1, way: stand.Delivery{Framing: stand.FramingChunked, Piece: 100, Link: stand.NewLink(4 * mbit)}, bits: 4 * mbit},
+		"4 Mbit/s, until the end":        {entries: 1, way: stand.Delivery{Framing: stand.FramingClose, Link: stand.NewLink(4 * mbit)}, bits: 4 * mbit},
 		"4 Mbit/s, one of two":           {entries: 2, oneWay: slow(4 * mbit), bits: 4 * mbit},
 	}
 	for name, test := range tests {
