direct: calls that return nothing at once are followed by a growing pause (CONFIG)

Seen in a row of TestConfigDelivery, not reported: against a store that answers watches at once, as one behind a proxy that does not wait, or answers each with 410, two entries made 50,691 and 98,100 calls in 1.4 s without the race detector (6,721 and 12,254 in 2.0 s with it); the platform's store has 2,000 reads a second for all and answers 429 beyond. Its processor time is the callers'.

Cause: a pause followed only a failed call and one that brought changes. A call that succeeded without changes was taken for one that had waited. Class: a loop that relies on the other side for its rate.

Now a call that returned nothing within 60 ms is followed, from the second one in a row on, by a pause that doubles from 60 ms to 0.5 s: a single 410, and the listing after it, wait for nothing, and a configuration is still found within 2 s.

--- a/direct/delivery_test.go
+++ b/direct/delivery_test.go
@@ -137,6 +137,8 @@
 		"each second answer 503":         {entries: 2, way: stand.Delivery{Defect: stand.DefectBusy}},
 		"each second answer 429":         {entries: 2, way: stand.Delivery{Defect: stand.DefectLimited}},
 		"changes at the end of the wait": {entries: 2, way: stand.Delivery{Held: true}},
+		"watches do not wait":            {entries: 2, way: stand.Delivery{NoWait: true}},
+		"watches have no history":        {entries: 2, way: stand.Delivery{NoHistory: true}},
 		"history dropped":                {entries: 2, compact: true},
 		"many pages, history dropped":    {entries: 1, compact: true, items: 100, itemBytes: 4 << 10},
 		"many versions in one answer":    {entries: 2, versions: 8},
--- a/direct/watch.go
+++ b/direct/watch.go
@@ -21,6 +21,8 @@
 	// changePause is the time between a watch that returned changes and the next one, so
 	// that many changes in a row take few calls.
 	changePause = 60 * time.Millisecond
+	// maxEarlyPause bounds the pause after calls that returned nothing before changePause.
+	maxEarlyPause = 500 * time.Millisecond
 	// probeTimeout is how long a watch waits while the store does not respond.
 	probeTimeout = 50 * time.Millisecond
 	// listTimeout bounds a listing; the store responds in milliseconds.
@@ -55,16 +57,30 @@
 			return nil
 		}
 		w.recordResult(began, time.Now(), err)
-		switch {
-		case err != nil:
+		if err != nil {
 			sleepContext(ctx, w.delay)
-		case w.changed:
-			sleepContext(ctx, changePause)
+		} else {
+			sleepContext(ctx, w.pauseAfter(time.Since(began)))
 		}
 	}
 	return nil
 }
 
+// pauseAfter returns the time between a call that succeeded and the next one. It grows while calls
+// return at once without changes, as they do if the store does not wait or has no history.
+func (w *prefixWatcher) pauseAfter(took time.Duration) time.Duration {
+	if w.changed || took >= changePause {
+		w.earlyPause = 0
+		if w.changed {
+			return changePause
+		}
+		return 0
+	}
+	pause := w.earlyPause
+	w.earlyPause = min(maxEarlyPause, max(changePause, 2*pause))
+	return pause
+}
+
 // sleepContext waits for a time or until ctx ends.
 func sleepContext(ctx context.Context, d time.Duration) {
 	select {
@@ -108,6 +124,8 @@
 	// outage is set once the failures show that the store is away.
 	outage  bool
 	backoff time.Duration
+	// earlyPause is the pause after the next call that returns nothing at once.
+	earlyPause time.Duration
 	// delay is the time from the last failed call to the next one.
 	delay time.Duration
 }
