tests: returns of the store that some entries cannot see, and starts without it (CONFIG, DENIED)

Three rows more of TestConfigInForce: the store comes back from a copy while it does not answer two of the four entries; it is away for 3 s as all entries are killed; entries that it does not answer are killed or get SIGTERM.

--- a/tests/apply_test.go
+++ b/tests/apply_test.go
@@ -122,6 +122,41 @@
 			time.Sleep(500 * time.Millisecond)
 			d.write()
 		},
+		"the store returns while it does not answer two entries": func(d *configDrill) {
+			const length = contactTime + applyTime + skewTime + 4*time.Second
+			d.turnAway(stand.StoreFaults{NoResponse: true}, length, 0, 1)
+			d.lose(time.Second, 0, lostWrites)
+			d.writeAgain()
+			d.write()
+			time.Sleep(contactTime + 200*time.Millisecond)
+			d.write()
+			time.Sleep(applyTime + skewTime + time.Second)
+		},
+		"the store is away for 3s as all entries are killed, and returns": func(d *configDrill) {
+			c := d.store.Copy()
+			d.count(lostWrites)
+			d.write()
+			time.Sleep(time.Second)
+			d.tasks.Go(func() {
+				time.Sleep(200 * time.Millisecond)
+				d.restartAll(syscall.SIGKILL)
+			})
+			d.comeBack(c, 3*time.Second)
+			d.writeAgain()
+			d.write()
+		},
+		"entries that the store does not answer are killed": func(d *configDrill) {
+			d.turnAway(stand.StoreFaults{NoResponse: true}, contactTime+applyTime+skewTime+2*time.Second, 0, 1)
+			time.Sleep(300 * time.Millisecond)
+			d.tasks.Go(func() { d.restart(0, syscall.SIGKILL) })
+			d.write()
+			time.Sleep(time.Second)
+			d.tasks.Go(func() { d.restart(1, syscall.SIGTERM) })
+			d.write()
+			time.Sleep(contactTime)
+			d.write()
+			time.Sleep(applyTime + skewTime)
+		},
 		"the store does not answer two entries": func(d *configDrill) { d.turnAwayWhileWriting(stand.StoreFaults{NoResponse: true}, 0, 1) },
 		"the store answers two entries 503":     func(d *configDrill) { d.turnAwayWhileWriting(stand.StoreFaults{Busy: true}, 1, 2) },
 		"the store resets two entries":          func(d *configDrill) { d.turnAwayWhileWriting(stand.StoreFaults{Reset: true}, 2, 3) },
--- a/tests/drill_test.go
+++ b/tests/drill_test.go
@@ -375,10 +375,12 @@
 // comeBack makes the store come back from a copy, after it has been away for a time.
 func (d *configDrill) comeBack(c stand.StoreCopy, away time.Duration) {
 	defer d.begin(drillFault{entry: theCore, down: true})()
-	if away > 0 {
-		d.store.SetFaults(stand.StoreFaults{NoResponse: true})
-		time.Sleep(away)
+	if away == 0 {
+		d.store.ComeBack(c)
+		return
 	}
+	d.store.SetFaults(stand.StoreFaults{NoResponse: true})
+	time.Sleep(away)
 	d.store.ComeBack(c)
 	d.store.SetFaults(stand.StoreFaults{})
 }
