--- a/direct/delivery_test.go
+++ b/direct/delivery_test.go
@@ -255,3 +255,39 @@
 		}
 	}
 }
+
+// TestRemovedBesideClosedConnections guards against requests to an upstream whose registration was
+// removed, at a store that closes connections without saying so: a call on a connection that is
+// closed already shows no outage, in which registrations lapse.
+func TestRemovedBesideClosedConnections(t *testing.T) {
+	for _, ending := range []stand.Ending{stand.EndingClose, stand.EndingReset, stand.EndingIdle} {
+		t.Run(string(ending), func(t *testing.T) {
+			t.Parallel()
+			log := &logBuffer{}
+			s := newStackOf(t, stackOptions{entries: 1, fullWait: true, log: log})
+			s.store.SetFaults(stand.StoreFaults{Deliveries: map[string]stand.Delivery{"": {Ending: ending}}})
+			time.Sleep(2 * time.Second)
+			left := s.replicas[0]
+			s.store.Delete(left.StoreKey())
+			removed := time.Now()
+			time.Sleep(drainTime)
+			before := len(left.ExecutedRequests())
+			for time.Since(removed) < drainTime+time.Second {
+				s.send(context.Background(), s.entries[0], callerRequest{path: "/read/a", key: testKey})
+			}
+			if got := len(left.ExecutedRequests()) - before; got != 0 {
+				t.Errorf("got %d requests at the upstream later than %v after its removal, want none", got, drainTime)
+			}
+			if got := log.count("store does not respond"); got > 0 {
+				t.Errorf("got the store reported as away %d times, want none", got)
+			}
+		})
+	}
+}
+
+// count returns the number of lines with a text.
+func (b *logBuffer) count(text string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return bytes.Count(b.text.Bytes(), []byte(text))
+}
