direct: the age of a copy is rounded up when peers are told (CONFIG, DENIED)

Cause, of a part: the age of a confirmation was cut to whole milliseconds at each hop, so that it became younger by half a millisecond on average each time that a peer passed it on, for as long as nothing newer came. A message also asked for the position before the age, which then could be that of a newer copy. Class: an error that is small once and adds up.

Now the age is rounded up, and asked for first.

--- a/direct/peers.go
+++ b/direct/peers.go
@@ -44,20 +44,28 @@
 func (e *Entry) positions(now time.Time) []*wire.Position {
 	list := make([]*wire.Position, 0, len(e.itemCaches))
 	for _, c := range e.itemCaches {
+		age := reportedAge(c, now) // Asked before the position, which may be newer then.
 		position, digest := c.state()
-		list = append(list, &wire.Position{Era: position.Era, Revision: position.Revision, Digest: digest, Age: reportedAge(c, now)})
+		list = append(list, &wire.Position{Era: position.Era, Revision: position.Revision, Digest: digest, Age: age})
 	}
 	return list
 }
 
 // reportedAge returns 1 + the time since the store had nothing newer than a copy, ms, as peers are
-// told; 0 if it is not known or too long.
+// told; 0 if it is not known or too long. It is rounded up: what is passed on many times must not
+// become younger.
 func reportedAge(c *itemCache, now time.Time) uint32 {
 	age, ok := c.confirmedAge(now)
 	if !ok || age >= maxReportedAge {
 		return 0
 	}
-	return 1 + uint32(age.Milliseconds())
+	return 1 + uint32((age + time.Millisecond - 1).Milliseconds())
+}
+
+// confirmedByPeer returns when the store had nothing newer than a peer's copy, whose reported age
+// is as of a time.
+func confirmedByPeer(at time.Time, reported uint32) time.Time {
+	return at.Add(-time.Duration(reported-1) * time.Millisecond)
 }
 
 // copyAge returns the time since the store last had nothing newer than the oldest copy, as
@@ -171,7 +179,7 @@
 			c.advance(theirs)
 		}
 		if p.GetAge() > 0 {
-			c.confirm(now.Add(-time.Duration(p.GetAge()-1) * time.Millisecond))
+			c.confirm(confirmedByPeer(now, p.GetAge()))
 		}
 	}
 	if theirs == mine && mine.Revision > 0 && c.differs(now, !same, differsLimit) {
@@ -324,7 +332,7 @@
 	position := store.Position{Era: reply.GetEra(), Revision: reply.GetRevision()}
 	defer func() {
 		if mine, _ := c.state(); reply.GetAge() > 0 && mine.Era == position.Era && !mine.Before(position) {
-			c.confirm(began.Add(-time.Duration(reply.GetAge()-1) * time.Millisecond))
+			c.confirm(confirmedByPeer(began, reply.GetAge()))
 		}
 	}()
 	if mine, _ := c.state(); !mine.Before(position) {
