direct: a copy is confirmed only once what depends on it is in force (CONFIG, DENIED)

Cause: changes are applied to the copy first and then to what depends on it; a configuration of 900 KB takes some time to decode. In between the copy is at the store's position already, and a peer's message, handled by another goroutine, or the end of a fetch confirmed it: the entry refused by the old configuration as one that knows of nothing newer. For registrations the same holds for what is inferred from a complete copy. Class: a flag that is set before the work that it stands for.

Now a peer's message confirms nothing while changes are being applied (the next one does), and a fetch waits for that. Evidence: TestConfirmedWhileApplied: without the change "got the copy confirmed before the configuration was decoded".

--- a/direct/age_test.go
+++ b/direct/age_test.go
@@ -3,6 +3,11 @@
 import (
 	"testing"
 	"time"
+
+	"cactustide/meter"
+	"cactustide/setup"
+	"cactustide/store"
+	"cactustide/wire"
 )
 
 // TestAgePassedOn guards against a refusal of an added route (404) by an entry whose copy seems younger
@@ -37,3 +42,38 @@
 		})
 	}
 }
+
+// TestConfirmedWhileApplied guards against a refusal of an added route (404) by an entry whose copy
+// of the store has the new configuration and counts as confirmed before the configuration is in
+// force (CONFIG, DENIED).
+func TestConfirmedWhileApplied(t *testing.T) {
+	m := meter.New("test")
+	defer m.Close()
+	decoding, decoded := make(chan struct{}), make(chan struct{})
+	codec := ItemCodec{Prefixes: []string{"op/"}, Decode: func(store.Item) (Change, error) {
+		close(decoding)
+		<-decoded
+		return Change{}, nil
+	}}
+	e := New(&setup.DirectSettings{Name: "test"}, HeaderCodec{}, codec, nil, meter.NewLogger(discard{}, "error", "json", "direct"), m)
+	now := time.Now()
+	at := store.Position{Revision: 2}
+	applied := make(chan struct{})
+	go func() {
+		defer close(applied)
+		e.applyChanges(now, 0, sourceWatch, store.Changes{Items: []store.Item{{Key: "op/config", Position: at}}, Position: at})
+	}()
+	<-decoding
+	_, digest := e.itemCaches[0].state()
+	said := &wire.Position{Revision: 2, Digest: digest, Age: 1}
+	e.comparePosition(now, 0, said, 1, true)
+	if e.isConfigConfirmed(now) {
+		t.Error("got the copy confirmed before the configuration was decoded, want it not confirmed")
+	}
+	close(decoded)
+	<-applied
+	e.comparePosition(now, 0, said, 1, true)
+	if !e.isConfigConfirmed(now) {
+		t.Error("got the copy not confirmed once the configuration is in force, want it confirmed")
+	}
+}
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -170,11 +170,16 @@
 func (e *Entry) comparePosition(now time.Time, prefix int, p *wire.Position, process uint64, local bool) {
 	c := e.itemCaches[prefix]
 	theirs := store.Position{Era: p.GetEra(), Revision: p.GetRevision()}
+	// While changes are applied, the copy is ahead of what depends on it.
+	applied := c.applying.TryLock()
+	if applied {
+		defer c.applying.Unlock()
+	}
 	mine, digest := c.state()
 	sameEra := theirs.Era == mine.Era
 	same := sameEra && p.GetDigest() == digest
 	behind := mine.Before(theirs) && !same
-	if !behind && sameEra {
+	if applied && !behind && sameEra {
 		if same {
 			c.advance(theirs)
 		}
@@ -331,6 +336,8 @@
 	}
 	position := store.Position{Era: reply.GetEra(), Revision: reply.GetRevision()}
 	defer func() {
+		c.applying.Lock() // Another call may be applying the same changes.
+		defer c.applying.Unlock()
 		if mine, _ := c.state(); reply.GetAge() > 0 && mine.Era == position.Era && !mine.Before(position) {
 			c.confirm(confirmedByPeer(began, reply.GetAge()))
 		}
