direct: the time of a peer's message on its way is covered when a 404 or 401 is given (CONFIG, DENIED)

Callers got 404 on an added route up to 2.02 s after its acknowledgement, at all nine entries of TestConfigDelivery, while the configuration was on its way over a slow link; the stated time is 2 s.

Cause: a peer's confirmation is dated when its message is read. A trace of one run: the store had last confirmed 33 ms before the write; one second later one message, 45 ms late, moved that forward by 45 ms, and all other entries took it over. The latest of all messages counts, and beside that the date creeps by 1 ms a second. Class: an age that leaves out its own transport.

Now a copy counts as confirmed for nine tenths of the time that a change may take; for 2 s, messages that are late by 0.2 s in all are covered. A message that lies unread for longer, as in a process that stood still, is not covered: that takes a date that does not depend on the reading.

Evidence: TestAgeOfLateMessage, 12 of its 16 rows fail without the change.

--- a/direct/age_test.go
+++ b/direct/age_test.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -43,6 +44,33 @@
 	}
 }
 
+// TestAgeOfLateMessage guards against a refusal of an added route (404) by an entry that takes the
+// copy of a peer for younger than it is, because the peer's message was on its way (CONFIG, DENIED).
+func TestAgeOfLateMessage(t *testing.T) {
+	for _, limit := range []time.Duration{0, time.Second, 2 * time.Second, 5 * time.Second} {
+		apply := limit
+		if apply == 0 {
+			apply = defaultApplyTimeout
+		}
+		for _, way := range []time.Duration{0, time.Millisecond, 50 * time.Millisecond, apply / 11} {
+			t.Run(fmt.Sprint(limit, " ", way), func(t *testing.T) {
+				m := meter.New("test")
+				defer m.Close()
+				codec := ItemCodec{Prefixes: []string{"op/"}, Decode: decodeFake}
+				e := New(&setup.DirectSettings{Name: "test", ApplyTimeout: limit}, HeaderCodec{}, codec, nil, meter.NewLogger(discard{}, "error", "json", "direct"), m)
+				said := time.Now()
+				e.comparePosition(said.Add(way), 0, &wire.Position{Digest: emptyDigest, Age: 1}, 1, true)
+				if !e.isConfigConfirmed(said.Add(apply * 3 / 4)) {
+					t.Errorf("got the copy not confirmed %v after the store had nothing newer, want it confirmed", apply*3/4)
+				}
+				if e.isConfigConfirmed(said.Add(apply + time.Microsecond)) {
+					t.Errorf("got the copy confirmed %v after the store had nothing newer, want it not confirmed", apply)
+				}
+			})
+		}
+	}
+}
+
 // TestConfirmedWhileApplied guards against a refusal of an added route (404) by an entry whose copy
 // of the store has the new configuration and counts as confirmed before the configuration is in
 // force (CONFIG, DENIED).
--- a/direct/delivery_test.go
+++ b/direct/delivery_test.go
@@ -149,6 +149,7 @@
 		"10 Mbit/s":                      {entries: 1, way: slow(10 * mbit), bits: 10 * mbit},
 		"4 Mbit/s, all four":             {entries: 4, way: slow(4 * mbit), bits: 4 * mbit},
 		"10 Mbit/s, all four":            {entries: 4, way: slow(10 * mbit), bits: 10 * mbit},
+		"10 Mbit/s, all nine":            {entries: 9, way: slow(10 * mbit), bits: 10 * mbit},
 		"4 Mbit/s, one is cut off":       {entries: 2, way: slow(4 * mbit), bits: 4 * mbit, cut: true},
 		"4 Mbit/s, an entry starts":      {entries: 1, way: slow(4 * mbit), bits: 4 * mbit, joins: true},
 		"4 Mbit/s, history dropped":      {entries: 1, way: slow(4 * mbit), bits: 4 * mbit, compact: true},
--- a/direct/refuse.go
+++ b/direct/refuse.go
@@ -40,6 +40,10 @@
 // force.
 const defaultApplyTimeout = 2 * time.Second
 
+// confirmedFraction is the fraction of that time for which a copy counts as confirmed. What a peer
+// tells of its age is older by the way of the message; the rest covers that.
+const confirmedFraction = 0.9
+
 // isConfigConfirmed reports whether the entry has each configuration that must be in force by now.
 func (e *Entry) isConfigConfirmed(now time.Time) bool {
 	limit := e.settings.Load().ApplyTimeout
@@ -47,7 +51,7 @@
 		limit = defaultApplyTimeout
 	}
 	age, ok := e.itemCaches[configPrefix].confirmedAge(now)
-	return ok && age <= limit
+	return ok && float64(age) <= confirmedFraction*float64(limit)
 }
 
 // refuseUnknown returns the status and the reason for a request whose route or key the
