direct: a request is not refused by a configuration that was replaced while it was looked up (CONFIG, DENIED)

A configuration that came into force and was confirmed in between, as in a process that waits for the processor there, made that 404 or 401 although it may have the route. Class: two reads of one state taken for one.

Now the version by which the route was not found has to be in force still after the confirmation was read, else the answer is 503 with Retry-After. Evidence: TestRefusalBesideNewVersion, without the change "got 404 by the version before the one in force".

--- a/direct/age_test.go
+++ b/direct/age_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
 	"cactustide/meter"
+	"cactustide/rules"
 	"cactustide/setup"
 	"cactustide/store"
 	"cactustide/wire"
@@ -105,3 +107,21 @@
 		t.Error("got the copy not confirmed once the configuration is in force, want it confirmed")
 	}
 }
+
+// TestRefusalBesideNewVersion guards against a refusal of an added route (404) by the configuration
+// that was in force when the request was looked up, confirmed by one that came since (CONFIG, DENIED).
+func TestRefusalBesideNewVersion(t *testing.T) {
+	m := meter.New("test")
+	defer m.Close()
+	e := New(&setup.DirectSettings{Name: "test"}, HeaderCodec{}, ItemCodec{Prefixes: []string{"op/"}}, nil, meter.NewLogger(discard{}, "error", "json", "direct"), m)
+	now := time.Now()
+	e.rules.Adopt(&rules.Document{Version: 1})
+	e.itemCaches[configPrefix].confirm(now)
+	if got, _ := e.refuseUnknown(now, 1, http.StatusNotFound, reasonNoRoute); got != http.StatusNotFound {
+		t.Errorf("got %d by the version in force, want 404", got)
+	}
+	e.rules.Adopt(&rules.Document{Version: 2})
+	if got, _ := e.refuseUnknown(now, 1, http.StatusNotFound, reasonNoRoute); got != http.StatusServiceUnavailable {
+		t.Errorf("got %d by the version before the one in force, want 503", got)
+	}
+}
--- a/direct/handle.go
+++ b/direct/handle.go
@@ -136,13 +136,13 @@
 	path, _, _ := strings.Cut(q.target, "?")
 	q.route = table.FindRoute(r.Host, path)
 	if q.route == nil {
-		status, reason := e.refuseUnknown(now, http.StatusNotFound, reasonNoRoute)
+		status, reason := e.refuseUnknown(now, q.version, http.StatusNotFound, reasonNoRoute)
 		return q, status, reason
 	}
 	if table.NeedsKey(q.route) {
 		owner, ok := table.FindOwner(q.info.APIKey)
 		if !ok {
-			status, reason := e.refuseUnknown(now, http.StatusUnauthorized, reasonUnknownKey)
+			status, reason := e.refuseUnknown(now, q.version, http.StatusUnauthorized, reasonUnknownKey)
 			return q, status, reason
 		}
 		q.owner = owner
--- a/direct/refuse.go
+++ b/direct/refuse.go
@@ -54,11 +54,12 @@
 	return ok && float64(age) <= confirmedFraction*float64(limit)
 }
 
-// refuseUnknown returns the status and the reason for a request whose route or key the
-// configuration in force does not have. A newer one may have it if this one was not confirmed for
-// long: then the caller may find it at another entry.
-func (e *Entry) refuseUnknown(now time.Time, status int, reason string) (int, string) {
-	if e.isConfigConfirmed(now) {
+// refuseUnknown returns the status and the reason for a request whose route or key a version of the
+// configuration does not have. A newer one may have it if this one was not confirmed for long: then
+// the caller may find it at another entry.
+func (e *Entry) refuseUnknown(now time.Time, version uint64, status int, reason string) (int, string) {
+	// The version is read last: the confirmation may be that of one that came in between.
+	if e.isConfigConfirmed(now) && e.rules.Version() == version {
 		return status, reason
 	}
 	return http.StatusServiceUnavailable, reasonUnconfirmed
