soak: entries out of step, routes that come and go, probes straight to each entry

Each added route brings an API key. GET probes go to each entry over the whole run, on added, removed and unknown routes. At entries without faults: no 404 or 401 later than 2 s after the write, no other answer than these to a removed or unknown route. At entries with faults: no 404 or 401 either that late, but 503, unless the store had an older configuration.

The check of drains bounds an arrival by 7 s, as faults of the plan are shorter than that.

--- a/labs/soak.go
+++ b/labs/soak.go
@@ -50,7 +50,7 @@
 			for kind, n := range r.Faults {
 				faults[kind] += n
 			}
-			fmt.Printf("seed %d: %d requests, %d served, %d refused, %d failed, %d violations\n", runSeed, r.Requests, r.Served, r.Refused, r.Failed, len(r.Violations))
+			fmt.Printf("seed %d: %d requests, %d served, %d refused, %d failed, %d probes, %d violations\n", runSeed, r.Requests, r.Served, r.Refused, r.Failed, r.Probes, len(r.Violations))
 			if len(r.Violations) == 0 {
 				_ = os.RemoveAll(dir) // The files are kept only if there were violations.
 				continue
--- a/soak/check.go
+++ b/soak/check.go
@@ -34,6 +34,8 @@
 	resumes  string
 	events   int
 	versions map[string]bool
+	// probed is set for a probe: the route that it asked for.
+	probed *probedRoute
 	// cancelled is set when the caller cancels the request early.
 	cancelled bool
 	// undisturbed is set when the caller did not cancel and its entry had no fault,
@@ -95,6 +97,9 @@
 		sentIDs[ex.id] = true
 		n := len(runs[ex.id])
 		r := routes[ex.routeName]
+		if ex.probed != nil {
+			r = ex.probed.Route // Which refusals are right is judged with the response.
+		}
 		atMostOnce := r.Kind != "idempotent" && !r.Resumable
 		if atMostOnce && n > 1 {
 			add("once", "%s %s ran %d times", ex.routeName, ex.id, n)
@@ -102,7 +107,7 @@
 		if n > 0 && (ex.status == 503 || ex.status == 429 || ex.status == 408 || ex.status == 421) && ex.complete {
 			add("refused", "%s %s got status %d and ran %d times", ex.routeName, ex.id, ex.status, n)
 		}
-		if ex.status == 401 || ex.status == 403 || ex.status == 404 || ex.status == 400 || ex.status == 413 || ex.status == 431 {
+		if ex.probed == nil && (ex.status == 401 || ex.status == 403 || ex.status == 404 || ex.status == 400 || ex.status == 413 || ex.status == 431) {
 			add("denied", "%s %s got status %d", ex.routeName, ex.id, ex.status)
 		}
 		if ex.status == 200 {
--- a/soak/drill.go
+++ b/soak/drill.go
@@ -76,6 +76,7 @@
 		r.store.SetFaults(stand.StoreFaults{NoResponse: true})
 		time.Sleep(returnSilence)
 	}
+	defer r.beginStoreBehind()()
 	r.store.ComeBack(from)
 	r.store.SetFaults(stand.StoreFaults{})
 	time.Sleep(rewriteTime / 2)
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -197,7 +197,7 @@
 			drainedAt = again
 		}
 		for _, run := range replica.ExecutedRequests() {
-			if elapsed := run.Started.Sub(drainedAt); elapsed > applyTimeout+disturbedApplyMargin && !r.wasPaused(run.Started) {
+			if elapsed := run.Started.Sub(drainedAt); elapsed > applyTimeout+disturbedApplyMargin && !r.wasPaused(run.Started) && !r.wasCutOff(run.Started) {
 				r.reportViolation("drain", "%s ran %s %v after its drain began", replica.ID, run.ID, elapsed)
 			}
 		}
@@ -220,6 +220,11 @@
 
 // restartUpstream restarts an upstream under the same id.
 func (r *runner) restartUpstream(u *upstream) {
+	r.restartAs(u, u.ID, func(*stand.Replica) {})
+}
+
+// restartAs restarts an upstream at the same address, with what is changed in the next process.
+func (r *runner) restartAs(u *upstream, id string, change func(next *stand.Replica)) {
 	if u.draining.Load() {
 		return // It would register as ready in the middle of its drain.
 	}
@@ -228,15 +233,20 @@
 	old := u.Replica
 	old.Close()
 	u.relay.resetAll()
-	next, err := stand.NewReplica(old.ID, service, "zone-a", u.replicaAddress)
+	next, err := stand.NewReplica(id, service, "zone-a", u.replicaAddress)
 	if err != nil {
-		r.reportViolation("soak", "%s did not restart: %v", old.ID, err)
+		r.reportViolation("soak", "%s did not restart: %v", id, err)
 		return
 	}
 	next.Address, next.EventCount, next.NamesVersion, next.Version = old.Address, old.EventCount, true, old.Version
+	next.EventGap = old.EventGap
+	change(next)
 	u.earlierRuns = append(u.earlierRuns, old.ExecutedRequests()...)
 	u.earlier = append(u.earlier, old)
 	u.Replica = next
+	if id != old.ID {
+		r.store.Delete(old.StoreKey())
+	}
 	r.store.Put(next.StoreKey(), next.Registration("ready"))
 }
 
@@ -258,6 +268,7 @@
 	case "unreadable":
 		r.changing.Lock()
 		defer r.changing.Unlock()
+		defer r.beginStoreBehind()()
 		r.store.Put("op/config", []byte("{"))
 		r.store.Put("servers/other", []byte("no entry"))
 		// The platform's store rejects unreadable configurations, so one that got in is
@@ -289,6 +300,7 @@
 	r.store.Put("op/config", r.config())
 	writtenAt := time.Now()
 	r.mu.Lock()
+	r.probed = append(r.probed, &probedRoute{Route: route, key: keyOf(route), added: writtenAt})
 	name := fmt.Sprintf("v%d", r.version)
 	r.mu.Unlock()
 	r.runAfter(applyTimeout, func() {
@@ -315,6 +327,7 @@
 			upToDate = append(upToDate, i)
 		}
 	}
+	defer r.beginStoreBehind()()
 	r.store.Put("op/config", stand.EncodeConfig(1, r.initialRoutes(), []string{service}, map[string][]string{"team": {apiKey}}))
 	writtenAt := time.Now()
 	time.Sleep(300 * time.Millisecond)
--- a/soak/release.go
+++ b/soak/release.go
@@ -30,8 +30,12 @@
 	for n := 0; n < maxTakeUps && events > 0 && events < streamEvents && begun.status == http.StatusOK && !begun.complete; n++ {
 		route := r.routes[begun.routeName]
 		ctx, cancel := context.WithTimeout(context.Background(), route.Timeout+3*time.Second)
+		at := (entry + n) % len(r.entries)
+		if preferred := r.takeUpAt.Load(); preferred > 0 && n == 0 {
+			at = int(preferred) - 1
+		}
 		next := r.sendOn(ctx, client, exchange{
-			id: fmt.Sprintf("%s%02x", begun.id, n), entry: (entry + n) % len(r.entries), routeName: begun.routeName, resumes: begun.id, events: events,
+			id: fmt.Sprintf("%s%02x", begun.id, n), entry: at, routeName: begun.routeName, resumes: begun.id, events: events,
 		}, route)
 		cancel()
 		events += countEvents(next)
--- a/soak/run.go
+++ b/soak/run.go
@@ -73,8 +73,10 @@
 // Result of a run.
 type Result struct {
 	Requests, Served, Refused, Failed int
-	Faults                            map[string]int
-	Violations                        []Violation
+	// Probes is the number of those Requests that were probes; they are in none of the others.
+	Probes     int
+	Faults     map[string]int
+	Violations []Violation
 }
 
 type entryProcess struct {
@@ -120,15 +122,23 @@
 	// changing is held while the configuration is changed.
 	changing    sync.Mutex
 	addedRoutes []stand.Route
-	version     uint64
+	// probed holds every route that was ever added; guarded by mu.
+	probed []*probedRoute
+	// takeUpAt is one more than the number of the entry at which streams are taken up; 0 means any.
+	takeUpAt atomic.Int64
+	version  uint64
 	// filler makes the configuration large: it is in the name of its last service.
 	filler       string
 	mu           sync.Mutex
 	disturbances []disturbance
 	// pauses are the times in which entries were stopped by SIGSTOP.
 	pauses []disturbance
+	// cuts are the times in which entries were cut off by cutOff.
+	cuts []disturbance
 	// stops are the times in which entries were stopped and started.
-	stops        []disturbance
+	stops []disturbance
+	// behind are the times in which the store had an older configuration, or none.
+	behind       []*disturbance
 	violations   []Violation
 	faultCounts  map[string]int
 	delayedTasks sync.WaitGroup
@@ -158,6 +168,9 @@
 	for i := range o.Callers {
 		callers.Go(func() { r.runCaller(i) })
 	}
+	for i := range r.entries {
+		callers.Go(func() { r.runProbes(i) })
+	}
 	callers.Go(r.watchMemory)
 	var series sync.WaitGroup
 	series.Go(r.injectSeries)
@@ -165,9 +178,12 @@
 	series.Go(r.injectBulk)
 	series.Go(r.injectLimits)
 	series.Go(r.injectReturns)
+	series.Go(r.injectApart)
 	r.injectPlan()
 	series.Wait()
 	r.delayedTasks.Wait()
+	r.joinAfterCalm()
+	r.delayedTasks.Wait()
 	r.checkRecovery()
 	close(r.stopCallers)
 	callers.Wait()
@@ -211,7 +227,16 @@
 }
 
 func (r *runner) config() []byte {
-	return stand.EncodeConfig(r.version, append(r.initialRoutes(), r.addedRoutes...), r.services(), map[string][]string{"team": {apiKey}})
+	return stand.EncodeConfig(r.version, append(r.initialRoutes(), r.addedRoutes...), r.services(), map[string][]string{"team": r.keys()})
+}
+
+// keys returns the API keys of the configuration: one for all routes, and one with each added route.
+func (r *runner) keys() []string {
+	keys := []string{apiKey}
+	for _, route := range r.addedRoutes {
+		keys = append(keys, keyOf(route))
+	}
+	return keys
 }
 
 func (r *runner) services() []string {
@@ -331,10 +356,14 @@
 // sendOn sends a request, which may go on with a stream, and records what came back.
 func (r *runner) sendOn(ctx context.Context, client *http.Client, ex exchange, route stand.Route) exchange {
 	ex.sentAt = time.Now()
-	req, err := stand.NewRequest(ctx, fmt.Sprintf("%s:%d", r.entries[ex.entry].ip, portListen), stand.RequestSpec{
+	spec := stand.RequestSpec{
 		ID: ex.id, Method: http.MethodPost, Host: host, Path: route.Prefix + "x", APIKey: apiKey, Body: "body of " + ex.id,
 		Timeout: route.Timeout + time.Second, Stream: route.Kind == "streaming", Resumes: ex.resumes, LastEventID: strconv.Itoa(ex.events),
-	})
+	}
+	if ex.probed != nil {
+		spec.Method, spec.APIKey, spec.Body = http.MethodGet, ex.probed.key, ""
+	}
+	req, err := stand.NewRequest(ctx, fmt.Sprintf("%s:%d", r.entries[ex.entry].ip, portListen), spec)
 	if err != nil {
 		return ex
 	}
@@ -428,6 +457,8 @@
 	res.Violations = append(res.Violations, checkVersions(exchanges)...)
 	for _, ex := range exchanges {
 		switch {
+		case ex.probed != nil:
+			res.Probes++
 		case ex.status == http.StatusOK && ex.complete:
 			res.Served++
 		case ex.status == http.StatusServiceUnavailable:
