soak: an upstream that is replaced stays replaced at a restart and at a return of the store

A restart under the same id took the id before it had the lock: an upstream replaced meanwhile would have come back under the older id as the newer release, which no entry can know. And the copy from which the store comes back may hold the registration of an upstream that was replaced since; nobody removed it again. Found by reading; no run showed either.

--- a/soak/apart.go
+++ b/soak/apart.go
@@ -6,7 +6,6 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -135,7 +134,7 @@
 		breakAfter = s.Duration / 4
 	}
 	time.Sleep(s.Duration / 2)
-	r.replaceUpstream(r.upstreams[n%len(r.upstreams)], release)
+	r.restartAs(r.upstreams[n%len(r.upstreams)], release)
 	time.Sleep(breakAfter)
 	r.takeUpAt.Store(int64(s.Target) + 1)
 	var kills sync.WaitGroup
@@ -147,17 +146,11 @@
 	kills.Wait()
 	for i := 1; i < len(r.upstreams); i++ {
 		time.Sleep(followGap)
-		r.replaceUpstream(r.upstreams[(n+i)%len(r.upstreams)], release)
+		r.restartAs(r.upstreams[(n+i)%len(r.upstreams)], release)
 	}
 	r.takeUpAt.Store(0)
 }
 
-// replaceUpstream puts an upstream of another release, whose streams last longer, at the address of
-// one that ends.
-func (r *runner) replaceUpstream(u *upstream, release string) {
-	r.restartAs(u, strings.SplitN(u.ID, "+", 2)[0]+"+"+release, func(next *stand.Replica) { next.Version, next.EventGap = release, longEventGap })
-}
-
 // probedRoute is a route that probes ask for, with a key that came and went with it.
 type probedRoute struct {
 	stand.Route
--- a/soak/drill.go
+++ b/soak/drill.go
@@ -88,6 +88,11 @@
 	r.store.Put("op/config", r.config())
 	for _, u := range r.upstreams {
 		u.changing.Lock()
+		for _, old := range u.earlier {
+			if old.ID != u.ID {
+				r.store.Delete(old.StoreKey()) // The copy may hold it.
+			}
+		}
 		r.register(u)
 		u.announcedAt.Store(time.Now().UnixNano())
 		u.changing.Unlock()
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -220,17 +220,25 @@
 
 // restartUpstream restarts an upstream under the same id.
 func (r *runner) restartUpstream(u *upstream) {
-	r.restartAs(u, u.ID, func(*stand.Replica) {})
+	r.restartAs(u, "")
 }
 
-// restartAs restarts an upstream at the same address, with what is changed in the next process.
-func (r *runner) restartAs(u *upstream, id string, change func(next *stand.Replica)) {
+// restartAs restarts an upstream at the same address. With another release it has another id, and its
+// streams last longer.
+func (r *runner) restartAs(u *upstream, release string) {
 	if u.draining.Load() {
 		return // It would register as ready in the middle of its drain.
 	}
 	u.changing.Lock()
 	defer u.changing.Unlock()
 	old := u.Replica
+	id, gap := old.ID, old.EventGap
+	if release == "" {
+		release = old.Version
+	} else {
+		name, _, _ := strings.Cut(old.ID, "+")
+		id, gap = name+"+"+release, longEventGap
+	}
 	old.Close()
 	u.relay.resetAll()
 	next, err := stand.NewReplica(id, service, "zone-a", u.replicaAddress)
@@ -238,9 +246,7 @@
 		r.reportViolation("soak", "%s did not restart: %v", id, err)
 		return
 	}
-	next.Address, next.EventCount, next.NamesVersion, next.Version = old.Address, old.EventCount, true, old.Version
-	next.EventGap = old.EventGap
-	change(next)
+	next.Address, next.EventCount, next.NamesVersion, next.Version, next.EventGap = old.Address, old.EventCount, true, release, gap
 	u.earlierRuns = append(u.earlierRuns, old.ExecutedRequests()...)
 	u.earlier = append(u.earlier, old)
 	u.Replica = next
