soak: each upstream has a loopback IP of its own, so that its port stays free while it restarts

An upstream that restarts closes its listener and opens it again at the same port of 127.0.0.1, which is one that the kernel also gives to connections of other processes. Which process had it there was not recorded. That a connection from 127.0.0.1 and this port refuses the listener, and one at 127.1.13.4 is free, was tried by hand.

--- a/soak/run.go
+++ b/soak/run.go
@@ -201,7 +201,9 @@
 	r.store.Put("op/config", r.config())
 	for i := range r.opts.Upstreams {
 		u := &upstream{}
-		if u.Replica, err = stand.NewReplica(fmt.Sprintf("u-%d", i), service, "zone-a", "127.0.0.1:0"); err != nil {
+		// An IP of its own: at 127.0.0.1 a connection of another process may take the port in a restart.
+		address := fmt.Sprintf("127.1.%d.%d:0", 1+r.opts.Seed%200, i+1)
+		if u.Replica, err = stand.NewReplica(fmt.Sprintf("u-%d", i), service, "zone-a", address); err != nil {
 			return err
 		}
 		u.replicaAddress = u.Address
