direct: TestRefusalLogged waits until the configuration's own calls fail

The row "cut off, no key where due" failed once beside other work: it waited until the calls about any prefix had failed and then looked for the time since which those about the configuration do. It waits for these now; what it asks of the line is the same.

--- a/direct/outage_test.go
+++ b/direct/outage_test.go
@@ -131,14 +131,25 @@
 
 // isStoreDown reports whether the entry has no answer from the store.
 func (s *testStack) isStoreDown(t *testing.T, e *testEntry) bool {
+	t.Helper()
+	return s.isPrefixDown(t, e, "")
+}
+
+// isPrefixDown reports the same for the calls about a prefix; empty means any.
+func (s *testStack) isPrefixDown(t *testing.T, e *testEntry, prefix string) bool {
 	t.Helper()
 	_, body := s.get(t, e, "/status")
-	var status struct{ Prefixes []struct{ Down float64 } }
+	var status struct {
+		Prefixes []struct {
+			Prefix string
+			Down   float64
+		}
+	}
 	if err := json.Unmarshal([]byte(body), &status); err != nil {
 		t.Fatal(err)
 	}
 	for _, p := range status.Prefixes {
-		if p.Down > 0 {
+		if p.Down > 0 && (prefix == "" || p.Prefix == prefix) {
 			return true
 		}
 	}
--- a/direct/refuse_test.go
+++ b/direct/refuse_test.go
@@ -71,7 +71,7 @@
 			s := newStackOf(t, stackOptions{entries: 1, log: log})
 			s.entries[0].storeCut.Store(test.cut)
 			if test.cut {
-				waitFor(t, "the store's absence noticed", func() bool { return s.isStoreDown(t, s.entries[0]) })
+				waitFor(t, "the store's absence noticed", func() bool { return s.isPrefixDown(t, s.entries[0], "op/config") })
 			}
 			got := s.send(context.Background(), s.entries[0], test.request)
 			line := log.lastLine(t, got.id)
