direct: the line of a stream that is taken up says on which knowledge an inferred origin rests (ORDER)

Callers' streams went on at another release through an entry that was out of step. The line named the source of the origin, but not how old the copy was that it was inferred from, nor for how long the entry had seen all registrations: the hypotheses of the incident could not be told apart. It has both now (copy, complete).

--- a/direct/origin.go
+++ b/direct/origin.go
@@ -158,7 +158,8 @@
 	}
 	e.scope.Tagged(map[string]string{"source": string(source)}).Counter("origins").Inc(1)
 	q.log.With("request", q.info.ID).With("resumes", q.info.Resumes).With("last", q.info.LastEventID).With("release", found.Release).
-		With("source", string(source)).With("ms", time.Since(now).Milliseconds()).Infof("request goes on with a stream")
+		With("source", string(source)).With("copy", e.copyAge(now).Milliseconds()).With("complete", e.origins.releases.CompleteFor(now).Milliseconds()).
+		With("ms", time.Since(now).Milliseconds()).Infof("request goes on with a stream")
 	q.origin, q.hasOrigin = found, true
 	return source != originUnknown
 }
--- a/origin/release.go
+++ b/origin/release.go
@@ -55,6 +55,17 @@
 	}
 }
 
+// CompleteFor returns for how long the entry has seen all registrations without a gap; zero if it
+// does not see them.
+func (r *Releases) CompleteFor(now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.since.IsZero() {
+		return 0
+	}
+	return max(0, now.Sub(r.since))
+}
+
 // Begin returns a record without releases that is complete since the entry has seen all
 // registrations, or false if it does not see them.
 func (r *Releases) Begin() (Record, bool) {
