direct, origin: that no other release began a stream holds when the stream is taken up (ORDER)

What callers saw: during a release, streams that had begun on a new release through other entries broke, were taken up at an entry that was out of step, and went on at the old release.

Cause: where nobody tells the origin, an entry infers it: only one release was in service, so it was that one. That none else was rested on a copy up to 2 s old (a flag set each 0.25 s), on a record read up to 1 s before, and on a time of complete knowledge that went on over listings (history dropped, store returned), over copies of peers, and over registrations that were replaced in one answer. A release that was still in the copy when the process stood still, and was removed on waking, counted as last in service before that. An entry that took over the record of a service dropped the releases that it had not seen itself.

Class of fault: something counts as absent because it was not seen. docs/ARCHITECTURE.md, "What counts as absent", asks for the others.

Fix: the registration of whatever began a stream was in the store before the caller asks to go on, so one reading that begins after the question has it or its removal. Entry.confirmCopies makes it, for registrations and configuration, from the position up to which each change was looked at, shared by all that wait, 0.4 s at most; without it the answer is 503, as before. The record is read after the question too. What an answer replaces or removes counts as in service until then. Gaps end complete knowledge; after a return of the store nothing is inferred for as long as a stream lasts, nor by the record at the entry that keeps it and has lost changes. The record is complete only from the time at which its keeper lost changes, and one of the entries that watch the store keeps it, as they see each change.

A lookup may wait 0.2 s for the next reading.

Tests changed: testEntry.storeCut cuts reads and writes of keys too, not listings and watches alone (stricter).

--- a/direct/entry.go
+++ b/direct/entry.go
@@ -146,7 +146,7 @@
 		relist:          make([]atomic.Bool, len(codec.Prefixes)),
 		duty:            newWatchDuty(s.ApplyTimeout),
 		createdAt:       time.Now(),
-		origins:         newOriginTracker(time.Now(), s.First),
+		origins:         newOriginTracker(time.Now(), s.First, len(codec.Prefixes)),
 	}
 	e.ending, e.endRequests = context.WithCancel(context.Background())
 	e.settings.Store(s)
--- a/direct/origin.go
+++ b/direct/origin.go
@@ -28,7 +28,7 @@
 	// streamTimeouts is the time after its begin in which a stream is taken up, in timeouts of
 	// its route: callers give up earlier.
 	streamTimeouts = 3
-	// freshCopy is the age up to which the copy of the registrations counts as complete.
+	// freshCopy is the age up to which the copy of the registrations counts as one without a gap.
 	freshCopy = 2 * time.Second
 	// recordPrefix is that of the keys in the store with the releases of each service.
 	recordPrefix = "releases/"
@@ -37,8 +37,10 @@
 	recordTimeout  = 400 * time.Millisecond
 	recordInterval = 300 * time.Millisecond
 	recordPause    = time.Second
-	// recordAge is how long a record that was read is used for streams that are taken up.
-	recordAge = time.Second
+	// confirmTimeout bounds the calls that bring the copies up to date for streams that are taken
+	// up. readPause is the time between two such calls, and between two readings of a record.
+	confirmTimeout = 400 * time.Millisecond
+	readPause      = 200 * time.Millisecond
 	// minRecordTime is the shortest time for which a release stays in the record after its last
 	// upstream has left.
 	minRecordTime = time.Minute
@@ -65,27 +67,39 @@
 	releases *origin.Releases
 
 	mu sync.Mutex
-	// ring has the other entries that are alive, and allRing this one too, of the version of
-	// the members that ringVersion is.
-	ring, allRing *origin.Ring
-	ringVersion   uint64
+	// ring has the other entries that are alive, and watcherRing those that watch the store, of
+	// the version of the members that ringVersion is.
+	ring, watcherRing *origin.Ring
+	ringVersion       uint64
 	// asked holds the lookups that wait for answers, by their number.
 	asked map[uint64]chan *wire.Stream
 	// reads are the records that were read for streams that were taken up, by service.
 	reads map[string]*recordRead
+	// observed is the position, by prefix, up to which each change was looked at. The copy may be
+	// further: peers bring it on without what was replaced meanwhile.
+	observed []store.Position
+	// confirmation is the last one.
+	confirmation confirmation
 }
 
-// recordRead is the last reading of a record.
+// recordRead is the last reading of a record, and began when it began.
 type recordRead struct {
 	mu     sync.Mutex
-	at     time.Time
+	began  time.Time
 	record origin.Record
 	ok     bool
 }
 
-func newOriginTracker(now time.Time, first bool) *originTracker {
+// confirmation is a reading of all changes that the store had when it began.
+type confirmation struct {
+	mu    sync.Mutex
+	began time.Time
+	ok    bool
+}
+
+func newOriginTracker(now time.Time, first bool, prefixes int) *originTracker {
 	return &originTracker{
-		table: origin.NewTable(), releases: origin.NewReleases(now, first),
+		table: origin.NewTable(), releases: origin.NewReleases(now, first), observed: make([]store.Position, prefixes),
 		asked: map[uint64]chan *wire.Stream{}, reads: map[string]*recordRead{},
 	}
 }
@@ -128,9 +142,9 @@
 	return origin.Origin{Service: s.GetService(), Release: s.GetRelease()}
 }
 
-// memberRings returns the rings of the other entries that are alive, and of all. They change with
-// the members only.
-func (e *Entry) memberRings(now time.Time) (others, all *origin.Ring) {
+// memberRings returns the rings of the other entries that are alive, and of those that watch the
+// store. They change with the members only.
+func (e *Entry) memberRings(now time.Time) (others, watchers *origin.Ring) {
 	members := e.gossiper.Members()
 	version := members.Version()
 	o := e.origins
@@ -138,15 +152,16 @@
 	defer o.mu.Unlock()
 	if o.ring == nil || o.ringVersion != version {
 		self := e.settings.Load().Peer
+		alive := members.Alive(now)
 		var addresses []string
-		for _, m := range members.Alive(now) {
+		for _, m := range alive {
 			if m.Address != self {
 				addresses = append(addresses, m.Address)
 			}
 		}
-		o.ring, o.allRing, o.ringVersion = origin.NewRing(addresses), origin.NewRing(append(addresses, self)), version
+		o.ring, o.watcherRing, o.ringVersion = origin.NewRing(addresses), origin.NewRing(chooseWatchers(alive)), version
 	}
-	return o.ring, o.allRing
+	return o.ring, o.watcherRing
 }
 
 // findOrigin finds out which release began the stream that a request goes on with. It reports
@@ -253,11 +268,16 @@
 }
 
 // soleRelease returns the release that began a stream of which nobody kept the origin, if only one
-// was in service for as long as the stream may have lasted.
+// was in service for as long as the stream may have lasted. That there was no other one must hold
+// when the stream is taken up: whatever began it was registered before.
 func (e *Entry) soleRelease(now time.Time, q *request) (string, originSource) {
+	if !e.confirmCopies(now) {
+		return "", originUnknown
+	}
 	window := q.streamWindow()
 	// A stream of a route that leads, or has led, to several services may be another one's.
-	if services, _ := e.origins.releases.Within(now, routeKey(q.route), window); len(services) != 1 {
+	services, _ := e.origins.releases.Within(now, routeKey(q.route), window)
+	if only, ok := origin.Sole(services); !ok || only != q.service.Name {
 		return "", originUnknown
 	}
 	seen, complete := e.origins.releases.Within(now, q.service.Name, window)
@@ -265,6 +285,9 @@
 		release, _ := origin.Sole(seen)
 		return release, originSole
 	}
+	if e.origins.releases.Returned(now, window) || e.origins.releases.Listed(now, window) && e.keepsRecord(now, q.service.Name) {
+		return "", originUnknown // The record may lack the releases that came shortly before.
+	}
 	record, ok := e.readRecord(now, q.service.Name)
 	if !ok || !record.Covers(now, window) {
 		return "", originUnknown
@@ -273,12 +296,89 @@
 	return release, originRecord
 }
 
+// confirmCopies makes the copies of the registrations and of the configuration complete as of a
+// time that has passed, and reports whether it could. All who wait share the calls to the store.
+func (e *Entry) confirmCopies(asked time.Time) bool {
+	if e.store == nil {
+		return false
+	}
+	c := &e.origins.confirmation
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.began.IsZero() && !c.began.Before(asked) {
+		return c.ok
+	}
+	if !c.began.IsZero() {
+		sleepContext(e.ending, readPause-time.Since(c.began))
+	}
+	began := time.Now()
+	c.began, c.ok = began, true
+	ctx, cancel := context.WithTimeout(e.ending, confirmTimeout)
+	defer cancel()
+	failures := make([]error, len(e.itemCaches))
+	var calls sync.WaitGroup
+	for i := range e.itemCaches {
+		calls.Go(func() { failures[i] = e.callWithContext(ctx, func() error { return e.readChanges(began, i) }) })
+	}
+	calls.Wait()
+	for i, err := range failures {
+		if err != nil {
+			c.ok = false
+			e.log.With("prefix", e.codec.Prefixes[i]).Warnf("cannot bring the copy up to date for streams that are taken up: %v", err)
+		}
+	}
+	e.observeServing(time.Now())
+	return c.ok
+}
+
+// readFrom returns the position from which the changes under a prefix are read, so that each is
+// looked at. An entry that relies on others reads on from its copy; what that skips is a gap.
+func (e *Entry) readFrom(now time.Time, prefix int) store.Position {
+	position, _ := e.itemCaches[prefix].state()
+	watcher, _ := e.watchRole(now)
+	o := e.origins
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if seen := o.observed[prefix]; !watcher && seen.Before(position) {
+		o.observed[prefix] = position
+		if !seen.IsZero() {
+			o.releases.RecordSkip(now)
+		}
+	}
+	return o.observed[prefix]
+}
+
+// recordObserved records that all changes from one position to another were looked at.
+func (e *Entry) recordObserved(prefix int, after, position store.Position) {
+	o := e.origins
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if seen := o.observed[prefix]; !seen.Before(after) && seen.Era == position.Era {
+		o.observed[prefix] = store.Later(seen, position)
+	}
+}
+
+// recordListing records that all items were read, but not which ones came and left before.
+// returned is set if the store came back from an older copy.
+func (e *Entry) recordListing(now time.Time, prefix int, src source, position store.Position, returned bool) {
+	o := e.origins
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	seen := o.observed[prefix]
+	if src == sourceList {
+		o.observed[prefix] = store.Later(seen, position)
+	}
+	if returned || src == sourceList && !seen.IsZero() {
+		o.releases.RecordListing(now, returned)
+	}
+}
+
 // routeKey names a route among the services whose releases are observed: the services that it
 // leads to are observed in the same way.
 func routeKey(r *rules.Route) string { return "route " + r.Host + r.Prefix }
 
-// readRecord returns the record of a service from the store, at most recordAge old.
-func (e *Entry) readRecord(now time.Time, service string) (origin.Record, bool) {
+// readRecord returns the record of a service, read from the store after a time that has passed.
+func (e *Entry) readRecord(asked time.Time, service string) (origin.Record, bool) {
 	if e.store == nil || e.store.Get == nil {
 		return origin.Record{}, false
 	}
@@ -291,13 +391,15 @@
 	e.origins.mu.Unlock()
 	read.mu.Lock()
 	defer read.mu.Unlock()
-	if !read.at.IsZero() && now.Sub(read.at) < recordAge {
+	if !read.began.IsZero() && !read.began.Before(asked) {
 		return read.record, read.ok
 	}
+	if !read.began.IsZero() {
+		sleepContext(e.ending, readPause-time.Since(read.began))
+	}
+	read.began, read.ok = time.Now(), false
 	item, found, _, err := e.store.Get(recordPrefix+service, recordTimeout)
-	read.at, read.ok = time.Now(), false
 	if err != nil {
-		read.at = now.Add(-recordAge / 2) // Tried again sooner.
 		e.log.With("service", service).Warnf("cannot read the record of releases: %v", err)
 		return origin.Record{}, false
 	}
@@ -334,28 +436,56 @@
 // observeReleases records which releases and routes are in service, and whether the entry sees all
 // registrations.
 func (e *Entry) observeReleases(now time.Time) {
+	e.observeServing(now)
+	e.origins.mu.Lock()
+	complete := !slices.ContainsFunc(e.origins.observed, store.Position.IsZero)
+	e.origins.mu.Unlock()
+	e.origins.releases.SetComplete(now, complete && e.copyAge(now) <= freshCopy)
+	e.origins.releases.Expire(now)
+	e.origins.table.Expire(now)
+}
+
+// observeServing records which releases and routes are in service.
+func (e *Entry) observeServing(now time.Time) {
 	for _, s := range e.fleet.Releases() {
 		e.origins.releases.Observe(now, s.Service, s.Release)
 	}
 	if t := e.rules.Get(); t != nil {
-		for i := range t.Document.Routes {
-			r := &t.Document.Routes[i]
-			if !r.Resumable {
-				continue
-			}
-			for _, w := range r.Split {
-				e.origins.releases.Observe(now, routeKey(r), w.Service)
-			}
+		e.observeRoutes(now, t.Document)
+	}
+}
+
+// observeRoutes records to which services the routes lead whose streams may be resumed.
+func (e *Entry) observeRoutes(now time.Time, d *rules.Document) {
+	for i := range d.Routes {
+		r := &d.Routes[i]
+		if !r.Resumable {
+			continue
+		}
+		for _, w := range r.Split {
+			e.origins.releases.Observe(now, routeKey(r), w.Service)
 		}
 	}
-	complete := true
-	for _, c := range e.itemCaches {
-		position, _ := c.state()
-		complete = complete && !position.IsZero()
+}
+
+// observeUpstream records that the release with which an upstream is registered was in service
+// until now.
+func (e *Entry) observeUpstream(now time.Time, id string) {
+	if u, ok := e.fleet.Find(id); ok {
+		e.origins.releases.Observe(now, u.Service, u.Release)
+	}
+}
+
+// observeItem records what an item that was replaced since had brought into service.
+func (e *Entry) observeItem(now time.Time, item store.Item) {
+	c, err := e.codec.Decode(item)
+	switch {
+	case err != nil: // It names no upstream to use.
+	case c.Document != nil:
+		e.observeRoutes(now, c.Document)
+	case c.Upstream != nil:
+		e.origins.releases.Observe(now, c.Upstream.Service, c.Upstream.Release)
 	}
-	e.origins.releases.SetComplete(now, complete && e.copyAge(now) <= freshCopy)
-	e.origins.releases.Expire(now)
-	e.origins.table.Expire(now)
 }
 
 // keptRecord is the record of a service as this entry last read or wrote it.
@@ -411,11 +541,12 @@
 	return services
 }
 
-// keepsRecord reports whether this entry keeps the record of a service: one of those alive does.
+// keepsRecord reports whether this entry keeps the record of a service: one of those that watch the
+// store does, as they see each change.
 // While two do, as their views of the members differ, the condition of each write keeps both right.
 func (e *Entry) keepsRecord(now time.Time, service string) bool {
-	_, all := e.memberRings(now)
-	return slices.Contains(all.Holders(xxhash.Sum64String(service), 1), e.settings.Load().Peer)
+	_, watchers := e.memberRings(now)
+	return slices.Contains(watchers.Holders(xxhash.Sum64String(service), 1), e.settings.Load().Peer)
 }
 
 // updateRecord reads the record of a service unless it is known, and writes it if it lacks a
@@ -443,7 +574,7 @@
 		}
 	}
 	recent, complete := e.origins.releases.Within(now, service, keep)
-	next := known.record.Update(recent, complete)
+	next := e.origins.releases.Continue(known.record.Update(recent, complete))
 	if next.Equal(known.record) || len(next.Releases) == 0 {
 		return known, nil
 	}
--- a/direct/origin_test.go
+++ b/direct/origin_test.go
@@ -21,6 +21,8 @@
 type streams struct {
 	*testStack
 	cuts atomic.Int64
+	// copy is the one from which the store comes back.
+	copy stand.StoreCopy
 }
 
 // stream is a stream that a caller has a part of.
@@ -427,6 +429,14 @@
 			s.add("n-0", "v2")
 			s.refused(s.entries[1], begun, map[string]string{"Resumes": ""}, notKnown)
 		}},
+		"an id that nobody has seen, one version, a few entries watch for all": {entries: 9, play: func(s *streams) {
+			s.waitForRoles()
+			begun := s.begin(s.entries[0])
+			s.waitForRecord("v1")
+			for i := range s.entries {
+				s.goesOn(s.entries[i], begun, map[string]string{"Resumes": "ffff"})
+			}
+		}},
 		"an id that nobody has seen, two versions": {entries: 3, play: func(s *streams) {
 			begun := s.begin(s.entries[0])
 			s.add("n-0", "v2")
--- a/direct/stack_test.go
+++ b/direct/stack_test.go
@@ -65,6 +65,10 @@
 	storeCut atomic.Bool
 	// readLate is for how long the answers to watches lie unread, ns.
 	readLate atomic.Int64
+	// watchStuck leaves watches without an answer.
+	watchStuck atomic.Bool
+	// peersCut drops what the peers send.
+	peersCut atomic.Bool
 	closed   bool
 }
 
@@ -149,6 +153,7 @@
 	}
 	log := meter.NewLogger(output, "info", "json", "direct")
 	e.Entry = direct.New(settings, platform.NewHeaderCodec(), platform.NewItemCodec(), client, log, m)
+	e.DropGossip(e.peersCut.Load)
 	if err := e.Start(); err != nil {
 		s.t.Fatal(err)
 	}
@@ -160,11 +165,26 @@
 	return e
 }
 
+// stuckTime is how long a watch that is not answered takes beyond its wait.
+const stuckTime = 700 * time.Millisecond
+
 var errCut = errs.New("store cut off by the test")
 
 // cuttableStore makes the calls to the store fail while storeCut is set.
 func (e *testEntry) cuttableStore(c *store.ListWatch, fullWait bool) *store.ListWatch {
-	list, watch := c.List, c.Watch
+	list, watch, get, swap := c.List, c.Watch, c.Get, c.Swap
+	c.Get = func(key string, limit time.Duration) (store.Item, bool, store.Position, error) {
+		if e.storeCut.Load() {
+			return store.Item{}, false, store.Position{}, errCut
+		}
+		return get(key, limit)
+	}
+	c.Swap = func(key string, value []byte, expected store.Position, limit time.Duration) (store.Position, bool, error) {
+		if e.storeCut.Load() {
+			return store.Position{}, false, errCut
+		}
+		return swap(key, value, expected, limit)
+	}
 	c.List = func(prefix string, limit time.Duration) ([]store.Item, store.Position, error) {
 		if e.storeCut.Load() {
 			return nil, store.Position{}, errCut
@@ -178,6 +198,10 @@
 		if !fullWait {
 			wait = min(wait, 100*time.Millisecond)
 		}
+		if e.watchStuck.Load() {
+			time.Sleep(wait + stuckTime)
+			return store.Changes{}, errCut
+		}
 		changes, err := watch(prefix, after, wait)
 		time.Sleep(time.Duration(e.readLate.Load()))
 		if e.storeCut.Load() {
--- a/direct/types.go
+++ b/direct/types.go
@@ -21,6 +21,8 @@
 	KindListen Kind = "listen"
 	// KindEra: an answer of the store is from before its last return from an older copy.
 	KindEra Kind = "era"
+	// KindBehind: the changes after the copy cannot be read one by one.
+	KindBehind Kind = "behind"
 )
 
 // Error is an error of this package with its operation and kind.
--- a/direct/watch.go
+++ b/direct/watch.go
@@ -23,6 +23,8 @@
 	changePause = 60 * time.Millisecond
 	// probeTimeout is how long a watch waits while the store does not respond.
 	probeTimeout = 50 * time.Millisecond
+	// minWait is the shortest wait of a watch.
+	minWait = time.Millisecond
 	// listTimeout bounds a listing; the store responds in milliseconds.
 	listTimeout = 800 * time.Millisecond
 	// minBackoff and maxBackoff bound the exponential time between the starts of calls
@@ -121,9 +123,7 @@
 	e := w.entry
 	prefix := e.codec.Prefixes[w.prefix]
 	w.changed, w.answeredFrom = false, now
-	// Peers may have brought the copy further.
-	position, _ := e.itemCaches[w.prefix].state()
-	w.position = store.Later(w.position, position)
+	w.position = e.readFrom(now, w.prefix)
 	if w.position.Era < e.storeEra.Load() {
 		w.listed = false // Another call found that the store came back from a copy.
 	}
@@ -168,10 +168,31 @@
 		w.answeredFrom = end // The store waits until then for a change.
 	}
 	e.applyChanges(time.Now(), w.prefix, sourceWatch, changes)
+	e.recordObserved(w.prefix, w.position, changes.Position)
 	w.position = store.Later(w.position, changes.Position)
 	return nil
 }
 
+// readChanges applies all changes under a prefix that the store has at a time at which the call
+// begins.
+func (e *Entry) readChanges(now time.Time, prefix int) error {
+	name, after := e.codec.Prefixes[prefix], e.readFrom(now, prefix)
+	if after.IsZero() {
+		return &Error{Op: "read " + name, Kind: KindBehind, Err: errs.New("it was not listed yet")}
+	}
+	changes, err := e.store.Watch(name, after, minWait)
+	if err != nil {
+		return err
+	}
+	if changes.Compacted || changes.Position.Era != after.Era {
+		return &Error{Op: "read " + name, Kind: KindBehind, Err: errs.New("it has to be listed again")}
+	}
+	e.applyChanges(time.Now(), prefix, sourceWatch, changes)
+	e.recordObserved(prefix, after, changes.Position)
+	e.itemCaches[prefix].confirm(now)
+	return nil
+}
+
 // checkEra returns an error if an answer of the store is from before a return from a copy that
 // is known: it was on its way for long.
 func (w *prefixWatcher) checkEra(position store.Position) error {
@@ -250,6 +271,7 @@
 		e.fleet.RecordReturn(now, position.Era) // The store may have lost registrations, as in an outage.
 	}
 	added, removed := c.replace(items, position)
+	e.recordListing(now, prefix, src, position, returned)
 	changes := map[fleet.Change]int{}
 	for _, item := range added {
 		changes[e.handleItem(now, src, item, returned)]++
@@ -288,9 +310,17 @@
 		return
 	}
 	applied := c.apply(changes.Items, changes.Position)
-	for i, item := range applied {
-		if !isReplaced(item, applied[i+1:]) {
+	next := 0
+	for _, item := range changes.Items {
+		isNew := next < len(applied) && applied[next].Key == item.Key && applied[next].Position == item.Position
+		if isNew {
+			next++
+		}
+		switch {
+		case isNew && !isReplaced(item, applied[next:]):
 			e.handleItem(now, src, item, false)
+		case !item.Deleted && !c.holds(item):
+			e.observeItem(now, item)
 		}
 	}
 	if len(applied) > 0 {
@@ -322,12 +352,14 @@
 	case c.Document != nil:
 		e.applyConfig(src, item, c)
 	case c.Upstream != nil:
+		e.observeUpstream(now, c.Upstream.ID)
 		if change = e.fleet.Put(*c.Upstream); change == fleet.ChangeStale && returned {
 			return change
 		}
 		e.origins.releases.Observe(now, c.Upstream.Service, c.Upstream.Release)
 		e.handleUpstreamChange(src, item.Position, c.Upstream.ID, change)
 	case c.Removed != "":
+		e.observeUpstream(now, c.Removed)
 		change = e.fleet.Remove(now, c.Removed)
 		e.handleUpstreamChange(src, item.Position, c.Removed, change)
 	}
@@ -335,6 +367,9 @@
 }
 
 func (e *Entry) applyConfig(src source, item store.Item, c Change) {
+	if t := e.rules.Get(); t != nil {
+		e.observeRoutes(time.Now(), t.Document)
+	}
 	if !e.rules.Adopt(c.Document) {
 		return
 	}
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -167,6 +167,58 @@
 	}
 }
 
+// TestReleaseGaps guards against a release that counts as the only one although another one may
+// have come and left unseen (ORDER), and against a record that says so.
+func TestReleaseGaps(t *testing.T) {
+	const window = 10 * time.Second
+	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	tests := map[string]struct {
+		play                  func(r *Releases)
+		now                   float64
+		gap, listed, returned bool
+		// since is that of a new record, kept that of one that was complete since the start.
+		since, kept time.Time
+		complete    time.Duration
+	}{
+		"none":                 {now: 30, play: func(*Releases) {}, since: at(1), kept: start, complete: 29 * time.Second},
+		"skipped":              {now: 30, play: func(r *Releases) { r.RecordSkip(at(21)) }, gap: true, since: at(21), kept: start, complete: 9 * time.Second},
+		"skipped long ago":     {now: 31, play: func(r *Releases) { r.RecordSkip(at(21)) }, since: at(21), kept: start, complete: 10 * time.Second},
+		"listed":               {now: 30, play: func(r *Releases) { r.RecordListing(at(21), false) }, gap: true, listed: true, since: at(21), kept: at(21), complete: 9 * time.Second},
+		"listed long ago":      {now: 31, play: func(r *Releases) { r.RecordListing(at(21), false) }, since: at(21), kept: at(21), complete: 10 * time.Second},
+		"returned":             {now: 30, play: func(r *Releases) { r.RecordListing(at(21), true) }, gap: true, listed: true, returned: true, since: at(21), kept: at(21), complete: 9 * time.Second},
+		"returned long ago":    {now: 31, play: func(r *Releases) { r.RecordListing(at(21), true) }, since: at(21), kept: at(21), complete: 10 * time.Second},
+		"listed, then skips":   {now: 30, play: func(r *Releases) { r.RecordListing(at(2), false); r.RecordSkip(at(25)) }, gap: true, since: at(25), kept: at(2), complete: 5 * time.Second},
+		"returned, then lists": {now: 30, play: func(r *Releases) { r.RecordListing(at(2), true); r.RecordListing(at(25), false) }, gap: true, listed: true, since: at(25), kept: at(25), complete: 5 * time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			first := NewReleases(start, true)
+			first.SetComplete(at(1), true)
+			test.play(first)
+			if _, complete := first.Within(at(test.now), "s", window); complete == test.gap {
+				t.Errorf("got complete %v since the first start, want %v", complete, !test.gap)
+			}
+			r := NewReleases(start, false)
+			r.SetComplete(at(1), true)
+			test.play(r)
+			_, complete := r.Within(at(test.now), "s", window)
+			gap, listed, returned := !complete, r.Listed(at(test.now), window), r.Returned(at(test.now), window)
+			if gap != test.gap || listed != test.listed || returned != test.returned {
+				t.Errorf("got gap %v, listed %v, returned %v, want %v, %v, %v", gap, listed, returned, test.gap, test.listed, test.returned)
+			}
+			if got, ok := r.Begin(); !ok || !got.Since.Equal(test.since) {
+				t.Errorf("got a new record since %v, %v, want %v", got.Since, ok, test.since)
+			}
+			if got := r.Continue(Record{Since: start, Releases: []string{"v1"}}); !got.Since.Equal(test.kept) || len(got.Releases) != 1 {
+				t.Errorf("got the record %+v, want since %v", got, test.kept)
+			}
+			if got := r.CompleteFor(at(test.now)); got != test.complete {
+				t.Errorf("got complete for %v, want %v", got, test.complete)
+			}
+		})
+	}
+}
+
 // TestRecord guards against a record that lacks a release which may have begun a stream.
 func TestRecord(t *testing.T) {
 	tests := map[string]struct {
--- a/origin/release.go
+++ b/origin/release.go
@@ -21,6 +21,10 @@
 	// had not started before. first ends with the first gap.
 	startedAt time.Time
 	first     bool
+	// skippedAt is when the entry last went on from what others had seen for it, listedAt when it
+	// last listed all registrations as the changes before were lost, and returnedAt when the
+	// platform's store last came back from an older copy.
+	skippedAt, listedAt, returnedAt time.Time
 }
 
 // startTime is the time in which the entries of a system start, and know the registrations.
@@ -55,6 +59,56 @@
 	}
 }
 
+// RecordSkip records that the entry goes on from what others have seen for it.
+func (r *Releases) RecordSkip(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.skippedAt = now
+}
+
+// RecordListing records that the entry sees what is registered, but not what came and left before,
+// and whether that is because the store came back from an older copy.
+func (r *Releases) RecordListing(now time.Time, returned bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.listedAt = now
+	if returned {
+		r.returnedAt = now
+	}
+}
+
+// Listed reports whether changes were lost within a window before now.
+func (r *Releases) Listed(now time.Time, window time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.listedAt.IsZero() && now.Sub(r.listedAt) < window
+}
+
+// Returned reports whether the store came back from an older copy within a window before now. What
+// it lost since then may have begun a stream.
+func (r *Releases) Returned(now time.Time, window time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.returnedAt.IsZero() && now.Sub(r.returnedAt) < window
+}
+
+// completeSince returns since when the entry has seen all registrations without a gap.
+func (r *Releases) completeSince() time.Time {
+	return later(r.since, later(r.skippedAt, r.listedAt))
+}
+
+// isAlways reports whether the entry has seen all registrations that there ever were.
+func (r *Releases) isAlways() bool {
+	return r.always && r.skippedAt.IsZero() && r.listedAt.IsZero()
+}
+
+func later(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
+
 // CompleteFor returns for how long the entry has seen all registrations without a gap; zero if it
 // does not see them.
 func (r *Releases) CompleteFor(now time.Time) time.Duration {
@@ -63,7 +117,7 @@
 	if r.since.IsZero() {
 		return 0
 	}
-	return max(0, now.Sub(r.since))
+	return max(0, now.Sub(r.completeSince()))
 }
 
 // Begin returns a record without releases that is complete since the entry has seen all
@@ -71,10 +125,18 @@
 func (r *Releases) Begin() (Record, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.always {
+	if r.isAlways() {
 		return Record{}, true
 	}
-	return Record{Since: r.since}, !r.since.IsZero()
+	return Record{Since: r.completeSince()}, !r.since.IsZero()
+}
+
+// Continue returns a record that this entry keeps, without the time in which it has lost changes.
+func (r *Releases) Continue(record Record) Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	record.Since = later(record.Since, r.listedAt.Truncate(recordUnit))
+	return record
 }
 
 // Within returns the releases of a service that were seen within a window before now, sorted, and
@@ -88,7 +150,7 @@
 		}
 	}
 	slices.Sort(list)
-	return list, r.always || !r.since.IsZero() && now.Sub(r.since) >= window
+	return list, r.isAlways() || !r.since.IsZero() && now.Sub(r.completeSince()) >= window
 }
 
 // Expire forgets the releases that were not in service for long.
@@ -110,6 +172,9 @@
 // clockSkew is the largest difference between the clocks of two hosts that is reckoned with.
 const clockSkew = 10 * time.Second
 
+// recordUnit is the unit of the times in a stored record.
+const recordUnit = time.Millisecond
+
 // Record is what outlasts the entries: the releases of one service that may have begun a stream
 // which has not ended. It is stored on the platform when a release comes into service, and
 // again some time after its last upstream has left.
