--- a/direct/origin_test.go
+++ b/direct/origin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -20,6 +21,8 @@
 type streams struct {
 	*testStack
 	cuts atomic.Int64
+	// copy is the one from which the store comes back.
+	copy stand.StoreCopy
 }
 
 // stream is a stream that a caller has a part of.
@@ -426,6 +429,14 @@
 			s.add("n-0", "v2")
 			s.refused(s.entries[1], begun, map[string]string{"Resumes": ""}, notKnown)
 		}},
+		"an id that nobody has seen, one version, a few entries watch for all": {entries: 9, play: func(s *streams) {
+			s.waitForRoles()
+			begun := s.begin(s.entries[0])
+			s.waitForRecord("v1")
+			for i := range s.entries {
+				s.goesOn(s.entries[i], begun, map[string]string{"Resumes": "ffff"})
+			}
+		}},
 		"an id that nobody has seen, two versions": {entries: 3, play: func(s *streams) {
 			begun := s.begin(s.entries[0])
 			s.add("n-0", "v2")
@@ -467,6 +478,39 @@
 	}
 }
 
+// TestOriginLogged guards against a line on a stream that is taken up that does not tell on which
+// knowledge an inferred origin rests.
+func TestOriginLogged(t *testing.T) {
+	log := &logBuffer{}
+	s := &streams{testStack: newStackOf(t, stackOptions{entries: 1, first: true, log: log})}
+	s.store.Put("op/config", testConfig(2, append([]stand.Route{takeRoute}, testRoutes...)))
+	waitFor(t, "version 2", func() bool { return s.hasVersion(s.entries[0], 2) })
+	got := s.resume(s.entries[0], stream{id: "ffff", last: 1}, nil)
+	line := log.firstLine(t, got.id)
+	for _, field := range []string{"resumes", "last", "release", "source", "copy", "complete", "ms"} {
+		if line[field] == nil {
+			t.Errorf("got no %s in the line %v, want it", field, line)
+		}
+	}
+}
+
+// firstLine returns the fields of the first line about a request.
+func (b *logBuffer) firstLine(t *testing.T, id string) map[string]any {
+	t.Helper()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for line := range strings.Lines(b.text.String()) {
+		var f map[string]any
+		if err := json.Unmarshal([]byte(line), &f); err != nil {
+			t.Fatalf("cannot decode the line %q: %v", line, err)
+		}
+		if f["request"] == id {
+			return f
+		}
+	}
+	return nil
+}
+
 // recordKey is the key of the record of the versions in service.
 func (s *streams) recordKey() string { return "releases/desk" }
 
