soak: an upstream that restarts tries for a second to listen again

Suspected instead, not shown: a process that is being started holds copies of all descriptors of the soak until it runs its program, the listener that is closed meanwhile among them.

--- a/soak/fault.go
+++ b/soak/fault.go
@@ -17,6 +17,9 @@
 // invalidConfigDuration is how long an unreadable configuration stays in the store.
 const invalidConfigDuration = 300 * time.Millisecond
 
+// reopenTimeout bounds the time until an upstream that restarts has its port again.
+const reopenTimeout = time.Second
+
 // injectPlan injects the faults of the plan.
 func (r *runner) injectPlan() {
 	plan := NewPlan(r.opts.Seed, r.opts.FaultDuration, len(r.entries), len(r.upstreams))
@@ -242,6 +245,10 @@
 	old.Close()
 	u.relay.resetAll()
 	next, err := stand.NewReplica(id, service, "zone-a", u.replicaAddress)
+	for end := time.Now().Add(reopenTimeout); err != nil && time.Now().Before(end); {
+		time.Sleep(acceptPause) // A process that is being started holds the old listener until it runs its program.
+		next, err = stand.NewReplica(id, service, "zone-a", u.replicaAddress)
+	}
 	if err != nil {
 		r.reportViolation("soak", "%s did not restart: %v", id, err)
 		return
