direct: a 404 is not answered by 503 in a calm system (DENIED)

Cause, two: (1) a watch that ends with a change confirms the copy as of its begin; with the pause and the next whole watch the age reached 2.06 s, above the limit. A watch of the configuration now ends before the copy is too old. (2) Between a version's coming into force and its confirmation lay some instructions; a request that came there was refused as unconfirmed. A request that the copy does not allow now waits for an answer that is being applied, and an answer that was dropped, since the store came back meanwhile, confirms nothing.

TestRefusalUnconfirmed/answers_are_read_late counted its time from before the last late answer was read; it waits for that now, the bound after it is the same.

--- a/direct/cache.go
+++ b/direct/cache.go
@@ -16,6 +16,8 @@
 	// applying is held while changes are applied to the copy and to what depends on it,
 	// so that both see them in one order.
 	applying sync.Mutex
+	// settling is held while an answer is applied and confirms the copy.
+	settling sync.RWMutex
 
 	mu    sync.Mutex
 	items map[string]store.Item
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -330,6 +330,8 @@
 		logger.Warnf("cannot fetch changes from the peer: %v", err)
 		return
 	}
+	c.settling.Lock()
+	defer c.settling.Unlock()
 	now := time.Now()
 	if kept := reply.GetKept(); kept != nil {
 		e.handleItem(now, sourcePeer, decodeItem(kept, reply.GetEra()), false)
--- a/direct/refuse.go
+++ b/direct/refuse.go
@@ -44,22 +44,36 @@
 // tells of its age is older by the way of the message; the rest covers that.
 const confirmedFraction = 0.9
 
-// isConfigConfirmed reports whether the entry has each configuration that must be in force by now.
-func (e *Entry) isConfigConfirmed(now time.Time) bool {
+// confirmedFor returns for how much longer the entry has each configuration that must be in force;
+// negative if it may lack one.
+func (e *Entry) confirmedFor(now time.Time) time.Duration {
 	limit := e.settings.Load().ApplyTimeout
 	if limit == 0 {
 		limit = defaultApplyTimeout
 	}
 	age, ok := e.itemCaches[configPrefix].confirmedAge(now)
-	return ok && float64(age) <= confirmedFraction*float64(limit)
+	if !ok {
+		return -limit
+	}
+	return time.Duration(confirmedFraction*float64(limit)) - age
 }
 
+// isConfigConfirmed reports whether the entry has each configuration that must be in force by now.
+func (e *Entry) isConfigConfirmed(now time.Time) bool { return e.confirmedFor(now) >= 0 }
+
 // refuseUnknown returns the status and the reason for a request whose route or key a version of the
 // configuration does not have. A newer one may have it if this one was not confirmed for long: then
 // the caller may find it at another entry.
 func (e *Entry) refuseUnknown(now time.Time, version uint64, status int, reason string) (int, string) {
 	// The version is read last: the confirmation may be that of one that came in between.
-	if e.isConfigConfirmed(now) && e.rules.Version() == version {
+	isCurrent := func() bool { return e.isConfigConfirmed(now) && e.rules.Version() == version }
+	if isCurrent() {
+		return status, reason
+	}
+	c := e.itemCaches[configPrefix]
+	c.settling.RLock() // An answer that is being applied may confirm the version.
+	defer c.settling.RUnlock()
+	if isCurrent() {
 		return status, reason
 	}
 	return http.StatusServiceUnavailable, reasonUnconfirmed
--- a/direct/refuse_test.go
+++ b/direct/refuse_test.go
@@ -135,7 +135,10 @@
 		"answers are read late": {
 			entries: 1,
 			begin:   func(s *testStack) { s.entries[0].readLate.Store(int64(3 * time.Second)) },
-			end:     func(s *testStack) { s.entries[0].readLate.Store(0) },
+			end: func(s *testStack) {
+				late := time.Duration(s.entries[0].readLate.Swap(0))
+				time.Sleep(late) // The last late answer has been read.
+			},
 		},
 	}
 	for name, test := range tests {
@@ -178,3 +181,22 @@
 		})
 	}
 }
+
+// TestConfirmedBetweenChanges guards against a 503 in place of a 404 where nothing is wrong, as each
+// watch ends with a change shortly before its wait is over.
+func TestConfirmedBetweenChanges(t *testing.T) {
+	s := newStackOf(t, stackOptions{entries: 1, fullWait: true})
+	const period = 1050 * time.Millisecond // A wait, and the pause after a change.
+	begin := time.Now()
+	written := 0
+	for time.Since(begin) < 8*period {
+		if time.Since(begin) >= time.Duration(written)*period {
+			written++
+			s.store.Put("op/config", testConfig(uint64(1+written), testRoutes))
+		}
+		if got := s.send(context.Background(), s.entries[0], callerRequest{path: "/none/a", key: testKey}); got.status != http.StatusNotFound {
+			t.Fatalf("got %d %q on no route after %d versions, want 404", got.status, got.body, written)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
--- a/direct/watch.go
+++ b/direct/watch.go
@@ -27,6 +27,9 @@
 	probeTimeout = 50 * time.Millisecond
 	// minWait is the shortest wait of a watch.
 	minWait = time.Millisecond
+	// confirmMargin is how long before the copy of the configuration no longer counts as confirmed
+	// a watch of it ends.
+	confirmMargin = 100 * time.Millisecond
 	// listTimeout bounds a listing; the store responds in milliseconds.
 	listTimeout = 800 * time.Millisecond
 	// minBackoff and maxBackoff bound the exponential time between the starts of calls
@@ -117,8 +120,6 @@
 	changed bool
 	// lastCall is when the store last answered this entry.
 	lastCall time.Time
-	// answeredFrom is the earliest time at which the store can have made its last answer.
-	answeredFrom time.Time
 	// downSince is when the store stopped responding; zero while it responds.
 	downSince time.Time
 	// failures counts the failed calls in a row.
@@ -140,7 +141,7 @@
 func (w *prefixWatcher) poll(now time.Time) error {
 	e := w.entry
 	prefix := e.codec.Prefixes[w.prefix]
-	w.changed, w.answeredFrom = false, now
+	w.changed = false
 	w.position = e.readFrom(now, w.prefix)
 	if w.position.Era < e.storeEra.Load() {
 		w.listed = false // Another call found that the store came back from a copy.
@@ -153,7 +154,7 @@
 		if err := w.checkEra(position); err != nil {
 			return err
 		}
-		e.replaceItems(time.Now(), w.prefix, sourceList, items, position)
+		e.settle(w.prefix, position, now, func() { e.replaceItems(time.Now(), w.prefix, sourceList, items, position) })
 		w.position, w.listed = position, true
 		w.log.With("era", position.Era).With("revision", position.Revision).Infof("listed %d items", len(items))
 		return nil
@@ -162,6 +163,9 @@
 	if _, sharing := e.watchRole(time.Now()); sharing {
 		wait = e.duty.watchTime
 	}
+	if w.prefix == configPrefix {
+		wait = min(wait, max(minWait, e.confirmedFor(now)-confirmMargin))
+	}
 	if !w.downSince.IsZero() {
 		wait = probeTimeout
 	}
@@ -182,10 +186,12 @@
 		return nil
 	}
 	w.changed = len(changes.Items) > 0
+	// The answer may have waited for long to be read, as in a process that stood still.
+	answeredFrom := now
 	if end := now.Add(wait); !w.changed && !time.Now().Before(end) {
-		w.answeredFrom = end // The store waits until then for a change.
+		answeredFrom = end // The store waits until then for a change.
 	}
-	e.applyChanges(time.Now(), w.prefix, sourceWatch, changes)
+	e.settle(w.prefix, changes.Position, answeredFrom, func() { e.applyChanges(time.Now(), w.prefix, sourceWatch, changes) })
 	e.recordObserved(w.prefix, w.position, changes.Position)
 	w.position = store.Later(w.position, changes.Position)
 	return nil
@@ -205,12 +211,29 @@
 	if changes.Compacted || changes.Position.Era != after.Era {
 		return &Error{Op: "read " + name, Kind: KindBehind, Err: errs.New("it has to be listed again")}
 	}
-	e.applyChanges(time.Now(), prefix, sourceWatch, changes)
+	if !e.settle(prefix, changes.Position, now, func() { e.applyChanges(time.Now(), prefix, sourceWatch, changes) }) {
+		return &Error{Op: "read " + name, Kind: KindEra, Err: errs.New("the store came back from an older copy")}
+	}
 	e.recordObserved(prefix, after, changes.Position)
-	e.itemCaches[prefix].confirm(now)
 	return nil
 }
 
+// settle applies an answer of the store that brings the copy to a position, confirms the copy as of a
+// time, and reports whether it did: not if the store came back from an older copy meanwhile. A request
+// that the copy does not allow waits for it.
+func (e *Entry) settle(prefix int, position store.Position, answeredFrom time.Time, apply func()) bool {
+	c := e.itemCaches[prefix]
+	c.settling.Lock()
+	defer c.settling.Unlock()
+	apply()
+	mine, _ := c.state()
+	if mine.Era != position.Era || mine.Before(position) {
+		return false
+	}
+	c.confirm(answeredFrom)
+	return true
+}
+
 // checkEra returns an error if an answer of the store is from before a return from a copy that
 // is known: it was on its way for long.
 func (w *prefixWatcher) checkEra(position store.Position) error {
@@ -251,10 +274,6 @@
 		w.downSince, w.failures, w.outage, w.backoff = time.Time{}, 0, false, minBackoff
 		w.entry.itemCaches[w.prefix].setDownSince(time.Time{})
 		w.entry.itemCaches[w.prefix].setLastResponse(now)
-		if w.listed {
-			// The answer may have waited for long to be read, as in a process that stood still.
-			w.entry.itemCaches[w.prefix].confirm(w.answeredFrom)
-		}
 		w.lastCall = now
 		return
 	}
