direct: a stream at an upstream that has started again with another release, failing (ORDER); KNOWN-RED

What callers see: an entry began a stream and knows its origin. The upstream ends and starts again under its id and address with another release while the entry is cut off, late, or has not read the registration yet; the stream that is taken up there goes on at the new process.

Cause: the origin is known, so nothing is read from the store, and the release of the upstream is that of the copy (Registry.ReleaseOf). Not mended: where the store cannot be read at all, refusing each take-up would break LOST; asking the upstream when its process started (GET /v1/report) would tell, and is to be weighed.

The start takes no time in this test; real ones take seconds.

--- a/direct/step_test.go
+++ b/direct/step_test.go
@@ -1,8 +1,10 @@
 package direct_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -334,3 +336,65 @@
 	}
 	t.Logf("%d streams, %d calls, %.1f s", answered.Load(), s.storeCalls()-before, seconds)
 }
+
+// TestStreamRestartedUpstream guards against a stream that goes on at an upstream which has started
+// again under its id with another release (ORDER), through an entry that began the stream and
+// cannot have heard of the start.
+func TestStreamRestartedUpstream(t *testing.T) {
+	tests := map[string]struct {
+		impairment string
+		// asked is set if the entry sends a request while no process listens.
+		asked bool
+	}{
+		"in touch":                            {impairment: "nothing"},
+		"cut off from store":                  {impairment: "cut from store"},
+		"cut off from peers":                  {impairment: "cut from peers"},
+		"cut off":                             {impairment: "cut off"},
+		"cut off, a connection was refused":   {impairment: "cut off", asked: true},
+		"late, without peers":                 {impairment: "late, no peers"},
+		"watches not answered, without peers": {impairment: "stuck, no peers"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const length = 3 * time.Second
+			s := &streams{testStack: newStackOf(t, stackOptions{entries: 3, fullWait: true, first: true})}
+			s.store.Put("op/config", s.configOf(2, takeRoute))
+			for _, r := range s.replicas {
+				r.SetFault(s.cut)
+			}
+			for _, e := range s.entries {
+				waitFor(t, "version 2", func() bool { return s.hasVersion(e, 2) })
+				waitFor(t, "members", func() bool { return e.AliveEntries() == 3 })
+			}
+			e := s.entries[2]
+			var list []stream
+			for range 4 {
+				list = append(list, s.begin(e))
+			}
+			impairments[test.impairment].begin(e, length)
+			end := time.Now().Add(length)
+			for i, r := range slices.Clone(s.replicas) {
+				r.Close()
+				if test.asked {
+					s.send(context.Background(), e, callerRequest{path: "/take/a", key: testKey, stream: true})
+				}
+				next, err := stand.NewReplica(r.ID, "desk", "zone-a", r.Address)
+				if err != nil {
+					t.Fatal(err)
+				}
+				t.Cleanup(next.Close)
+				next.Version = "v2"
+				s.replicas[i] = next
+				s.store.Put(next.StoreKey(), next.Registration("ready"))
+			}
+			s.waitCaughtUp([]int{0, 1})
+			s.takeUp("at once", e, list[:2], false)
+			time.Sleep(time.Until(end))
+			impairments[test.impairment].end(e, length)
+			s.takeUp("at its return", e, list[2:3], false)
+			time.Sleep(backTime)
+			s.takeUp("in touch again", e, list[3:], false)
+		})
+	}
+}
