--- a/soak/run.go
+++ b/soak/run.go
@@ -293,20 +293,20 @@
 	if err != nil {
 		return err
 	}
-	p.cmd = exec.Command(r.opts.Binary, "direct")
-	p.cmd.Env = append(os.Environ(), stand.EnvBootFile+"="+p.bootFile)
-	p.cmd.Stdout, p.cmd.Stderr = logFile, logFile
-	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := p.cmd.Start(); err != nil {
+	cmd := exec.Command(r.opts.Binary, "direct")
+	cmd.Env = append(os.Environ(), stand.EnvBootFile+"="+p.bootFile)
+	cmd.Stdout, cmd.Stderr = logFile, logFile
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
 		return err
 	}
 	done := make(chan struct{})
-	p.done = done
-	go func(cmd *exec.Cmd) {
+	p.cmd, p.done = cmd, done // Signals of other faults go to a process that has started.
+	go func() {
 		_ = cmd.Wait() // Whoever stopped the entry checks how it ended.
 		_ = logFile.Close()
 		close(done)
-	}(p.cmd)
+	}()
 	return nil
 }
 
