retry: copies of a request that end upstreams at the same moment are several crashes (BUDGET)

Cause: a crash counted only if its request was sent after the last one that counts, less 0.25 s. All copies of a round that run for longer than that were one crash, however many upstreams ended.

Change: copies that ran beside each other count one by one, unless something else explains them: an upstream without a copy crashed within 0.25 s as well, or they crashed at one moment and had run for different times, or had run for more than 2.5 s. Where only such crashes make three, the request is served while a copy at this entry has outlived the shortest run by 0.1 s. A record holds the oldest copy of its upstream, told in whatever order; records of one moment are put in an order, so that entries agree. What sufficed before still does, but for upstreams that ran several copies: there the oldest one counts now, and not the one first told.

Waiting for the probe before a retry: no test was found that fails without it, left out.

TestRequestCopies has the arrangements one by one.

--- a/direct/crash.go
+++ b/direct/crash.go
@@ -58,6 +58,14 @@
 	return ok
 }
 
+// trackRun records that an upstream begins to run the request, and returns what is to be called
+// once it does not run it any more.
+func (e *Entry) trackRun(now time.Time, q *request) func() {
+	subject := encodeFingerprint(q.computeFingerprint())
+	e.requestEvidence.Begin(now, subject)
+	return func() { e.requestEvidence.End(now, subject) }
+}
+
 // recordCrash records the requests that were running at an upstream when it
 // crashed. It is called when the upstream's port refuses connections.
 func (e *Entry) recordCrash(now time.Time, to fleet.Upstream) {
--- a/direct/forward.go
+++ b/direct/forward.go
@@ -224,6 +224,7 @@
 	state.tried = append(state.tried, to.ID)
 	inFlight := e.balancer.Start(time.Now(), q.service.Name, to, &q.placement)
 	id := e.broadcastSent(to, q)
+	defer e.trackRun(time.Now(), q)()
 	defer func() {
 		inFlight.Finish(time.Now())
 		e.gossiper.BroadcastEnded(id)
--- a/retry/evidence.go
+++ b/retry/evidence.go
@@ -19,9 +19,8 @@
 	// part, and less counts as a fraction: upstreams that fail together say little about the
 	// requests that ran there.
 	crashSpacing = 250 * time.Millisecond
-	// overlapSlack is how long before the last crash a request may have been sent to count as
-	// another one: copies of a request that run for longer when upstreams fail together are
-	// one crash. It covers the time for which entries hear of each other.
+	// overlapSlack is how long before a crash a request may have been sent not to count as one that
+	// ran beside it. It covers the time for which entries hear of each other.
 	overlapSlack = 250 * time.Millisecond
 	// successWindow is how long before a crash a complete response shows that the subject
 	// did not cause the crash.
@@ -35,6 +34,8 @@
 	// maxRetold bounds the earlier crashes that are told again with a new one.
 	maxRetold    = 16
 	maxSuccesses = 8192
+	// maxEnded bounds the processes whose end is stored.
+	maxEnded = 1024
 )
 
 // Crash states that an upstream crashed while it ran requests with a subject.
@@ -124,6 +125,9 @@
 	late      bool
 }
 
+// ran returns for how long the request ran, the oldest one if there were several.
+func (r crashRecord) ran() time.Duration { return r.at.Sub(r.began) }
+
 // crash returns the record as a crash of a process.
 func (r crashRecord) crash(subject, process string) Crash {
 	return Crash{Subject: subject, Upstream: process, Began: r.began, At: r.at, Requests: r.requests, Late: r.late}
@@ -135,6 +139,9 @@
 	subjects []string
 	// last is the time of the last crash.
 	last time.Time
+	// overlapping is set if they are served while one of them has run for longer than ran.
+	overlapping bool
+	ran         time.Duration
 }
 
 // Evidence finds what crashes upstreams: whole requests, or parts of prompts whatever else
@@ -147,6 +154,8 @@
 	// subjects are parts of prompts: a request holds several of them.
 	period time.Duration
 	parts  bool
+	// running holds the requests that run now; it is not used for parts.
+	running running
 
 	// quarantined holds the group of each subject whose requests are refused. It is replaced
 	// and not changed, so that requests do not wait for mu.
@@ -157,6 +166,8 @@
 	crashes   map[string]map[string]crashRecord
 	successes map[string]time.Time
 	count     int
+	// ended holds when each process crashed, whatever it ran; it is not used for parts.
+	ended map[string]time.Time
 }
 
 // NewPartEvidence returns an empty set about parts of prompts.
@@ -169,8 +180,8 @@
 
 func newEvidence(period time.Duration, parts bool) *Evidence {
 	e := &Evidence{
-		period: period, parts: parts,
-		crashes: map[string]map[string]crashRecord{}, successes: map[string]time.Time{},
+		period: period, parts: parts, running: running{began: map[string][]time.Time{}},
+		crashes: map[string]map[string]crashRecord{}, successes: map[string]time.Time{}, ended: map[string]time.Time{},
 	}
 	e.quarantined.Store(&map[string]*quarantine{})
 	return e
@@ -187,6 +198,7 @@
 		if now.Sub(c.At) >= crashRecordTTL {
 			continue
 		}
+		e.recordEnd(c)
 		if at, ok := e.successes[c.Subject]; ok && c.At.Sub(at) < successWindow {
 			refuting = append(refuting, Success{Subject: c.Subject, At: at})
 			continue
@@ -249,11 +261,24 @@
 	before := record
 	record.requests |= c.Requests
 	record.late = record.late && c.Late
+	if ran := c.At.Sub(c.Began); !e.parts && ran > record.ran() {
+		record.began = record.at.Add(-ran)
+	}
 	e.crashes[c.Subject][c.Upstream] = record
 	c.Known = known
 	return !known || record != before
 }
 
+// recordEnd records when a process crashed; the first that tells of it is the closest.
+func (e *Evidence) recordEnd(c Crash) {
+	if e.parts {
+		return
+	}
+	if at, ok := e.ended[c.Upstream]; !ok || c.At.Before(at) {
+		e.ended[c.Upstream] = c.At
+	}
+}
+
 // limitCrashes returns at most maxCrashes of the crashes of subjects that had none, chosen by
 // chance, the late ones last.
 func limitCrashes(list []Crash) []Crash {
@@ -325,6 +350,9 @@
 		if q == nil || now.Sub(q.last) >= e.period || q.subjects[0] != subject {
 			continue
 		}
+		if q.overlapping && e.running.outlives(now, subject, q.ran+alikeSlack) {
+			continue
+		}
 		if len(q.subjects) == 1 || containsAll(subjects, q.subjects) {
 			return q.subjects, true
 		}
@@ -376,9 +404,9 @@
 // evaluate decides anew which subjects are quarantined.
 func (e *Evidence) evaluate() {
 	quarantined := map[string]*quarantine{}
-	for _, group := range findSuspects(e.crashes, e.parts) {
-		q := &quarantine{subjects: group, last: e.lastCrash(group[0])}
-		for _, subject := range group {
+	for _, group := range findSuspects(e.crashes, e.ended, e.parts) {
+		q := &quarantine{subjects: group.subjects, last: e.lastCrash(group.subjects[0]), overlapping: group.overlapping, ran: group.ran}
+		for _, subject := range group.subjects {
 			quarantined[subject] = q
 		}
 	}
@@ -388,6 +416,7 @@
 // trim removes the crashes that are too old, and subjects above the bound: those with the
 // fewest crashes first, the oldest of them before the others.
 func (e *Evidence) trim(now time.Time) {
+	e.trimEnded(now)
 	e.count = 0
 	for subject, crashes := range e.crashes {
 		maps.DeleteFunc(crashes, func(_ string, t crashRecord) bool { return now.Sub(t.at) >= crashRecordTTL })
@@ -408,6 +437,17 @@
 	}
 }
 
+// trimEnded removes the ends of processes that are too old, and the oldest half above the bound.
+func (e *Evidence) trimEnded(now time.Time) {
+	maps.DeleteFunc(e.ended, func(_ string, at time.Time) bool { return now.Sub(at) >= crashRecordTTL })
+	if len(e.ended) <= maxEnded {
+		return
+	}
+	times := slices.SortedFunc(maps.Values(e.ended), time.Time.Compare)
+	middle := times[len(times)/2]
+	maps.DeleteFunc(e.ended, func(_ string, at time.Time) bool { return at.Before(middle) })
+}
+
 func (e *Evidence) trimSuccesses(now time.Time) {
 	if len(e.successes) > maxSuccesses {
 		maps.DeleteFunc(e.successes, func(_ string, at time.Time) bool { return now.Sub(at) >= successWindow })
--- a/retry/evidence_test.go
+++ b/retry/evidence_test.go
@@ -235,3 +235,93 @@
 		t.Error("got no quarantine after many other crashes, want it kept")
 	}
 }
+
+// TestRequestCopies guards against copies of a deadly request that end several upstreams at once
+// being counted as one crash (BUDGET), and against a sound one that is refused because upstreams were
+// lost together.
+func TestRequestCopies(t *testing.T) {
+	const ms = time.Millisecond
+	type run struct {
+		upstream string
+		// ran is for how long a request had run at the crash, at when that was.
+		ran, at time.Duration
+	}
+	tests := map[string]struct {
+		copies, others []run
+		// running is for how long another copy has been running; 0 means that there is none.
+		running time.Duration
+		want    bool
+	}{
+		"three at once":                         {copies: []run{{"a", 500 * ms, 0}, {"b", 500 * ms, 2 * ms}, {"c", 510 * ms, 3 * ms}}, want: true},
+		"three in half a second":                {copies: []run{{"a", 500 * ms, 0}, {"b", 505 * ms, 220 * ms}, {"c", 500 * ms, 480 * ms}}, want: true},
+		"three that ran for anything up to 2 s": {copies: []run{{"a", 400 * ms, 400 * ms}, {"b", 900 * ms, 900 * ms}, {"c", 1900 * ms, 1900 * ms}}, want: true},
+		"two at once":                           {copies: []run{{"a", 500 * ms, 0}, {"b", 500 * ms, 0}}},
+		"one upstream, three copies":            {copies: []run{{"a", 500 * ms, 0}, {"a", 510 * ms, 0}, {"a", 520 * ms, 0}}},
+		"three that had run for different times": {
+			copies: []run{{"a", 300 * ms, 0}, {"b", 900 * ms, 0}, {"c", 1800 * ms, 0}},
+		},
+		"three at once that had run for long": {copies: []run{{"a", 5 * time.Second, 0}, {"b", 5 * time.Second, 0}, {"c", 5 * time.Second, 0}}},
+		"an upstream without a copy lost with them": {
+			copies: []run{{"a", 500 * ms, 0}, {"b", 500 * ms, 0}, {"c", 500 * ms, 0}},
+			others: []run{{"a", 40 * ms, 0}, {"d", 90 * ms, 1 * ms}},
+		},
+		"others only where copies ran": {
+			copies: []run{{"a", 500 * ms, 0}, {"b", 500 * ms, 0}, {"c", 500 * ms, 0}},
+			others: []run{{"a", 40 * ms, 0}, {"c", 90 * ms, 0}},
+			want:   true,
+		},
+		"another one runs for longer": {
+			copies: []run{{"a", 500 * ms, 0}, {"b", 500 * ms, 0}, {"c", 500 * ms, 0}}, running: 800 * ms,
+		},
+		"another one has begun": {
+			copies: []run{{"a", 500 * ms, 0}, {"b", 500 * ms, 0}, {"c", 500 * ms, 0}}, running: 100 * ms, want: true,
+		},
+		"another one runs for longer, each sent after the crash before": {
+			copies: []run{{"a", 500 * ms, 0}, {"b", 500 * ms, 600 * ms}, {"c", 500 * ms, 1200 * ms}}, running: 5 * time.Second, want: true,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			// Entries hear of the crashes in any order.
+			for first := range test.copies {
+				e := NewRequestEvidence()
+				end := now.Add(2 * time.Second)
+				if test.running > 0 {
+					e.Begin(end.Add(-test.running), "x")
+				}
+				add := func(subject string, r run) {
+					at := now.Add(r.at)
+					e.AddCrashes(end, []Crash{{Subject: subject, Upstream: r.upstream, Began: at.Add(-r.ran), At: at}})
+				}
+				for i := range test.copies {
+					add("x", test.copies[(first+i)%len(test.copies)])
+				}
+				for i, r := range test.others {
+					add(fmt.Sprint("other", i), r)
+				}
+				if _, got := e.FindQuarantined(end, "x"); got != test.want {
+					t.Errorf("from copy %d on: got refused %t, want %t", first, got, test.want)
+				}
+				if test.running > 0 {
+					e.End(end.Add(-test.running), "x")
+					if got := len(e.running.began); got != 0 {
+						t.Errorf("got %d requests that run, want none", got)
+					}
+				}
+			}
+		})
+	}
+}
+
+// TestEndedBounded checks the bound on the processes whose end is stored.
+func TestEndedBounded(t *testing.T) {
+	e := NewRequestEvidence()
+	for i := range 2 * maxEnded {
+		at := now.Add(time.Duration(i) * time.Millisecond)
+		e.AddCrashes(at, []Crash{{Subject: "x", Upstream: fmt.Sprint(i), At: at}})
+		e.AddSuccesses(at, []Success{{Subject: "x", At: at.Add(-successWindow)}})
+	}
+	if got := len(e.ended); got > maxEnded {
+		t.Errorf("got %d processes, want at most %d", got, maxEnded)
+	}
+}
--- a/retry/suspect.go
+++ b/retry/suspect.go
@@ -34,6 +34,17 @@
 	refinedCrashes = 0.5
 	narrower       = 2.0
 	muchNarrower   = 4.0
+	// maxCounted is the number of crashes up to which those of a request are counted.
+	maxCounted = 16
+	// momentSpan is the time within which crashes count as one moment. It covers what the times
+	// of entries differ by.
+	momentSpan = 250 * time.Millisecond
+	// alikeSlack is by how much the times may differ for which two copies of a request ran, or at
+	// which they were sent, if it ended both upstreams by what it does.
+	alikeSlack = 100 * time.Millisecond
+	// briefRun is the longest time for which a request may have run to explain the crash of its
+	// upstream although copies that ran beside it ended before.
+	briefRun = 2500 * time.Millisecond
 )
 
 // crashesBySubject holds the record of each crash by subject and process.
@@ -52,6 +63,18 @@
 	// crowd is how often the requests with the subject at a crash must be halved to get one,
 	// rank the number of crashes that the subject explains, less what its crowd takes.
 	crowd, rank float64
+	// overlapping is set if the count suffices only with requests that ran beside others which
+	// count, ran is the shortest time for which one that counts ran.
+	overlapping bool
+	ran         time.Duration
+}
+
+// suspectGroup is a group of subjects: requests that hold all of them are to be refused, or, if
+// overlapping is set, only while none of them has run for longer than ran.
+type suspectGroup struct {
+	subjects    []string
+	overlapping bool
+	ran         time.Duration
 }
 
 // findSuspects returns the subjects that explain the crashes, as groups: requests that hold all
@@ -63,7 +86,7 @@
 //   - Parts that were in the same requests at each crash are one group, as nothing tells them
 //     apart. A request with one of them alone runs, and shows which one it is.
 //   - The crashes that come while requests with a part are refused say nothing about that part.
-func findSuspects(all crashesBySubject, parts bool) [][]string {
+func findSuspects(all crashesBySubject, ended map[string]time.Time, parts bool) []suspectGroup {
 	enough := false
 	for _, crashes := range all {
 		enough = enough || len(crashes) >= evidenceThreshold
@@ -71,8 +94,8 @@
 	if !enough {
 		return nil
 	}
-	search := newSuspectSearch(all, parts)
-	var groups [][]string
+	search := newSuspectSearch(all, ended, parts)
+	var groups []suspectGroup
 	for {
 		worst, ok := search.findWorst()
 		if !ok {
@@ -80,7 +103,7 @@
 		}
 		group := search.findGroup(worst)
 		if search.suffices(worst) {
-			groups = append(groups, group)
+			groups = append(groups, suspectGroup{subjects: group, overlapping: worst.overlapping, ran: worst.ran})
 		}
 		search.explain(worst.subject)
 	}
@@ -96,13 +119,25 @@
 	suspects map[string]suspect
 	// explained holds the processes whose crash a subject explains.
 	explained map[string]bool
+	// ends holds when processes crashed, in the order of time.
+	ends []processEnd
+}
+
+// processEnd is when a process of an upstream crashed.
+type processEnd struct {
+	process string
+	at      time.Time
 }
 
-func newSuspectSearch(all crashesBySubject, parts bool) *suspectSearch {
+func newSuspectSearch(all crashesBySubject, ended map[string]time.Time, parts bool) *suspectSearch {
 	s := &suspectSearch{
 		parts: parts, crashes: crashesBySubject{}, subjects: map[string][]string{},
 		suspects: map[string]suspect{}, explained: map[string]bool{},
 	}
+	for process, at := range ended {
+		s.ends = append(s.ends, processEnd{process: process, at: at})
+	}
+	slices.SortFunc(s.ends, func(a, b processEnd) int { return a.at.Compare(b.at) })
 	for subject, crashes := range all {
 		if len(crashes) < minExplained {
 			continue
@@ -235,11 +270,14 @@
 		}
 	}
 	x.processes = len(records)
-	slices.SortFunc(records, func(a, b crashRecord) int { return a.at.Compare(b.at) })
+	slices.SortFunc(records, func(a, b crashRecord) int { return cmp.Or(a.at.Compare(b.at), a.began.Compare(b.began)) })
 	if s.parts {
 		x.count, x.reached = countPartCrashes(records)
 	} else {
-		x.count = float64(countRequestCrashes(records))
+		counted := s.countRequestCrashes(records, crashes)
+		x.count = float64(len(counted))
+		x.overlapping = countApart(records) < evidenceThreshold
+		x.ran = shortestRun(counted)
 	}
 	if x.processes > 0 {
 		x.crowd = math.Log2(float64(x.requests) / float64(x.processes))
@@ -269,9 +307,23 @@
 	return count, reached
 }
 
-// countRequestCrashes counts crashes in the order of time. The request must have been sent after
-// the last one that counts, but for overlapSlack.
-func countRequestCrashes(records []crashRecord) int {
+// countRequestCrashes returns the crashes that count, in the order of time, at most maxCounted.
+func (s *suspectSearch) countRequestCrashes(records []crashRecord, own map[string]crashRecord) []crashRecord {
+	counted := make([]crashRecord, 0, maxCounted)
+	for _, r := range records {
+		if len(counted) == maxCounted {
+			break
+		}
+		if !s.hasOtherCause(r, counted, own) {
+			counted = append(counted, r)
+		}
+	}
+	return counted
+}
+
+// countApart counts crashes in the order of time whose request was sent after those that count
+// before, but for overlapSlack.
+func countApart(records []crashRecord) int {
 	count := 0
 	var last time.Time
 	for _, r := range records {
@@ -283,6 +335,46 @@
 	return count
 }
 
+// shortestRun returns the shortest time for which a request ran.
+func shortestRun(records []crashRecord) time.Duration {
+	shortest := briefRun
+	for _, r := range records {
+		shortest = min(shortest, r.ran())
+	}
+	return shortest
+}
+
+// hasOtherCause reports whether a crash says no more of a request than those before it which count:
+// the copy ran already when one of them ended, and
+//   - it had run for long,
+//   - or other upstreams, without a copy, crashed at that moment too,
+//   - or one of them was at that moment, and had neither run for as long nor been sent together
+//     with it.
+func (s *suspectSearch) hasOtherCause(r crashRecord, counted []crashRecord, own map[string]crashRecord) bool {
+	beside, unlike := false, false
+	for _, c := range counted {
+		if !r.began.Before(c.at.Add(-overlapSlack)) {
+			continue
+		}
+		beside = true
+		if r.at.Sub(c.at) < momentSpan {
+			unlike = unlike || (r.ran()-c.ran()).Abs() > alikeSlack && r.began.Sub(c.began).Abs() > alikeSlack
+		}
+	}
+	return beside && (r.ran() > briefRun || unlike || s.hasBystander(r.at, own))
+}
+
+// hasBystander reports whether an upstream that had no copy of a request crashed at a moment.
+func (s *suspectSearch) hasBystander(at time.Time, own map[string]crashRecord) bool {
+	i, _ := slices.BinarySearchFunc(s.ends, at.Add(-momentSpan), func(p processEnd, t time.Time) int { return p.at.Compare(t) })
+	for ; i < len(s.ends) && s.ends[i].at.Before(at.Add(momentSpan)); i++ {
+		if _, ok := own[s.ends[i].process]; !ok {
+			return true
+		}
+	}
+	return false
+}
+
 // suffices reports whether requests with the subject are to be refused.
 func (s *suspectSearch) suffices(x suspect) bool {
 	if s.parts {
