retry: an entry that notices a crash late does not change how long its requests ran (BUDGET)

By the logs three entries noted one of the ends within 30 ms and front-2 0.09 s after them.

Cause: an upstream's record took the longest time that any entry told for its copies, which holds the delay of the entry that noticed last. It had then run for longer than the others, which counts as an explanation.

Change: a record holds the earliest end and the earliest send that were told, in whatever order.

Evidence: TestRequestCopies, "an entry notices one end late", failed before in each order (served, want refused).

--- a/retry/evidence.go
+++ b/retry/evidence.go
@@ -261,8 +261,11 @@
 	before := record
 	record.requests |= c.Requests
 	record.late = record.late && c.Late
-	if ran := c.At.Sub(c.Began); !e.parts && ran > record.ran() {
-		record.began = record.at.Add(-ran)
+	if !e.parts && c.At.Before(record.at) {
+		record.at = c.At // Others noticed it later.
+	}
+	if !e.parts && c.Began.Before(record.began) {
+		record.began = c.Began
 	}
 	e.crashes[c.Subject][c.Upstream] = record
 	c.Known = known
--- a/retry/evidence_test.go
+++ b/retry/evidence_test.go
@@ -255,6 +255,7 @@
 		"three at once":                         {copies: []run{{"a", 500 * ms, 0}, {"b", 500 * ms, 2 * ms}, {"c", 510 * ms, 3 * ms}}, want: true},
 		"three in half a second":                {copies: []run{{"a", 500 * ms, 0}, {"b", 505 * ms, 220 * ms}, {"c", 500 * ms, 480 * ms}}, want: true},
 		"three that ran for anything up to 2 s": {copies: []run{{"a", 400 * ms, 400 * ms}, {"b", 900 * ms, 900 * ms}, {"c", 1900 * ms, 1900 * ms}}, want: true},
+		"an entry notices one end late":         {copies: []run{{"a", 500 * ms, 0}, {"b", 500 * ms, 0}, {"c", 500 * ms, 0}, {"c", 790 * ms, 290 * ms}}, want: true},
 		"two at once":                           {copies: []run{{"a", 500 * ms, 0}, {"b", 500 * ms, 0}}},
 		"one upstream, three copies":            {copies: []run{{"a", 500 * ms, 0}, {"a", 510 * ms, 0}, {"a", 520 * ms, 0}}},
 		"three that had run for different times": {
