direct: at most one reading of each prefix for streams that are taken up (CONFIG, LOST)

While streams of unknown origin were taken up, a configuration on a slow link arrived late or never, and half of these streams were refused at an entry in touch.

Cause: a confirmation gives its calls up after 0.4 s, but these go on for as long as bytes arrive; each later one asked for the same configuration again, and all shared the link. Now a prefix that is still being read is not read again: the streams that wait are refused as before, and the first reading ends.

--- a/direct/delivery_test.go
+++ b/direct/delivery_test.go
@@ -292,3 +292,46 @@
 	defer b.mu.Unlock()
 	return bytes.Count(b.text.Bytes(), []byte(text))
 }
+
+// TestDeliveryBesideTakeUps guards against a configuration that arrives late, or never, over a slow link
+// as streams of unknown origin are taken up, each of which asks the store for the same bytes (CONFIG).
+func TestDeliveryBesideTakeUps(t *testing.T) {
+	tests := map[string]struct{ takers, bits, size int }{
+		"no stream is taken up": {bits: 10 * mbit, size: 900 << 10},
+		"10 Mbit/s, 900 KB":     {takers: 2, bits: 10 * mbit, size: 900 << 10},
+		"4 Mbit/s, 300 KB":      {takers: 2, bits: 4 * mbit, size: 300 << 10},
+		"4 Mbit/s, 900 KB":      {takers: 4, bits: 4 * mbit, size: 900 << 10},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newStackOf(t, stackOptions{entries: 1, fullWait: true, storeAddresses: true, first: true})
+			time.Sleep(500 * time.Millisecond)
+			s.store.SetFaults(stand.StoreFaults{Deliveries: map[string]stand.Delivery{"": {Link: stand.NewLink(test.bits)}}})
+			ctx, cancel := context.WithCancel(context.Background())
+			var takers sync.WaitGroup
+			defer takers.Wait()
+			defer cancel()
+			for range test.takers {
+				takers.Go(func() {
+					for ctx.Err() == nil {
+						s.send(ctx, s.entries[0], callerRequest{path: "/draft/a", key: testKey, stream: true, header: map[string]string{"Last-Event-Id": "1", "Resumes": "ffff"}})
+						time.Sleep(50 * time.Millisecond)
+					}
+				})
+			}
+			time.Sleep(time.Second)
+			s.store.Put("op/config", paddedConfig(t, 2, append(slices.Clone(testRoutes), addedRoute), test.size))
+			written := time.Now()
+			// The watch and one reading may ask for the same bytes; base64 adds a third.
+			bytes := 2 * test.size * 4 / 3
+			limit := applyTime + time.Duration(float64(8*bytes)/float64(test.bits)*float64(time.Second))
+			for s.send(context.Background(), s.entries[0], callerRequest{method: http.MethodGet, path: "/added/a", key: testKey}).status != http.StatusOK {
+				if time.Since(written) > limit {
+					t.Fatalf("got the added route not served, want it within %v", limit)
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+			t.Logf("served after %v of %v", time.Since(written), limit)
+		})
+	}
+}
--- a/direct/origin.go
+++ b/direct/origin.go
@@ -5,9 +5,11 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/zeebo/errs"
 	"google.golang.org/protobuf/encoding/protojson"
 
 	"cactustide/fleet"
@@ -80,6 +82,8 @@
 	observed []store.Position
 	// confirmation is the last one.
 	confirmation confirmation
+	// reading is set, by prefix, while a confirmation's call goes on; it may outlast its time.
+	reading []atomic.Bool
 }
 
 // recordRead is the last reading of a record, and began when it began.
@@ -99,7 +103,7 @@
 
 func newOriginTracker(now time.Time, first bool, prefixes int) *originTracker {
 	return &originTracker{
-		table: origin.NewTable(), releases: origin.NewReleases(now, first), observed: make([]store.Position, prefixes),
+		table: origin.NewTable(), releases: origin.NewReleases(now, first), observed: make([]store.Position, prefixes), reading: make([]atomic.Bool, prefixes),
 		asked: map[uint64]chan *wire.Stream{}, reads: map[string]*recordRead{},
 	}
 }
@@ -318,7 +322,17 @@
 	failures := make([]error, len(e.itemCaches))
 	var calls sync.WaitGroup
 	for i := range e.itemCaches {
-		calls.Go(func() { failures[i] = e.callWithContext(ctx, func() error { return e.readChanges(began, i) }) })
+		if !e.origins.reading[i].CompareAndSwap(false, true) {
+			// Another one would take its part of the bandwidth and delay both.
+			failures[i] = &Error{Op: "read " + e.codec.Prefixes[i], Kind: KindBehind, Err: errs.New("an earlier reading goes on")}
+			continue
+		}
+		calls.Go(func() {
+			failures[i] = e.callWithContext(ctx, func() error {
+				defer e.origins.reading[i].Store(false)
+				return e.readChanges(began, i)
+			})
+		})
 	}
 	calls.Wait()
 	for i, err := range failures {
