direct, relay: a peer's confirmation does not become younger on its way (CONFIG, DENIED, ORDER)

An entry that stood still read messages of peers that had lain unread, and took what they say of the age of a copy as of the time of reading: it refused an added route with 404 up to 6.5 s after the write, with `confirmed` 367 ms, and told its peers the same age, which refused too.

A message now has the reading of its sender's monotonic clock; the difference to the own clock above the smallest one of that sender is how late the message is, and is added. Clocks need not agree and may drift; a peer counts once it has been heard for 1 s, and one of an older build, without a reading, confirms nothing.

Evidence: TestLateness, seven rows of pauses, offsets and drift.

--- a/direct/entry.go
+++ b/direct/entry.go
@@ -81,6 +81,7 @@
 	// storeEra is the highest era that an answer of the store named to this entry.
 	storeEra atomic.Uint64
 	lags     []lag
+	lateness *lateness
 	// kept is the configuration in force, for peers that cannot read it from the store, and
 	// keptLag since when a peer has a newer one that the store does not hold.
 	kept    atomic.Pointer[keptConfig]
@@ -142,6 +143,7 @@
 		callerConns:     connTracker{idleSince: map[net.Conn]time.Time{}, awaitingHead: map[*callerConn]struct{}{}, limit: int(callerSocketFraction * float64(s.MaxSockets))},
 		gossiper:        relay.New(time.Now(), s.Name, s.Centre, s.Peer, s.Seeds, process, logger),
 		lags:            make([]lag, len(codec.Prefixes)),
+		lateness:        newLateness(time.Now()),
 		behind:          make(chan struct{}, 1),
 		relist:          make([]atomic.Bool, len(codec.Prefixes)),
 		duty:            newWatchDuty(s.ApplyTimeout),
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -124,7 +124,13 @@
 	if len(msg.GetPositions()) > 0 {
 		peer, _ := e.gossiper.Members().Find(msg.GetProcess())
 		local := peer.Centre == e.settings.Load().Centre
+		late, known := e.lateness.measure(now, msg.GetProcess(), msg.GetClock())
 		for i, p := range msg.GetPositions()[:min(len(msg.GetPositions()), len(e.itemCaches))] {
+			if known && p.GetAge() > 0 {
+				p.Age += uint32(min(late, maxReportedAge).Milliseconds())
+			} else {
+				p.Age = 0 // Nothing tells how old it is by now.
+			}
 			e.comparePosition(now, i, p, msg.GetProcess(), local)
 		}
 		e.compareVersion(now, msg.GetVersion(), msg.GetProcess(), local)
--- a/relay/gossip.go
+++ b/relay/gossip.go
@@ -100,6 +100,7 @@
 	flush     chan struct{}
 	done      chan struct{}
 	group     sync.WaitGroup
+	startedAt time.Time
 }
 
 // lastMessage is the newest message of a sender.
@@ -113,7 +114,7 @@
 // New returns a gossiper. Other entries reach it at address, over TCP and UDP.
 func New(now time.Time, name, centre, address string, seeds []string, process uint64, log *meter.Logger) *Gossiper {
 	g := &Gossiper{
-		name: name, address: address, centre: centre, process: process, log: log,
+		name: name, address: address, centre: centre, process: process, log: log, startedAt: now,
 		members: member.New(member.Record{Address: address, Centre: centre, Process: process, Beat: uint64(max(0, now.UnixMilli()))}),
 		Limits:  func(time.Time, int) []*wire.Limit { return nil },
 		Version: func() uint64 { return 0 },
@@ -253,6 +254,7 @@
 func (g *Gossiper) fillFull(now time.Time, msg *wire.Gossip) {
 	msg.Beat = g.members.NextBeat().Beat
 	msg.Positions = g.Positions(now)
+	msg.Clock = 1 + uint64(max(0, now.Sub(g.startedAt).Milliseconds()))
 	msg.Version = g.Version()
 	msg.Limits = append(msg.Limits, g.Limits(now, fullLimits)...)
 	g.addRecords(msg, g.members.Records(now, maxRecords, steadyRecords))
