soak: only the entry that was cut off is left out of the check of drains

A late arrival is now left out only if its own entry was cut off then or in the settleTime before, looked up once all exchanges are known; without one it counts.

A probe that gets "may be out of date" on an added route at an entry without faults is a violation now, which no check saw.

--- a/soak/apart.go
+++ b/soak/apart.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -95,13 +96,30 @@
 	r.injectEntry(ScheduledFault{Kind: "storecut", Target: entry, Duration: duration}, p)
 }
 
-// wasCutOff reports whether any entry was cut off by cutOff at a time or in the
-// applyTimeout and disturbedApplyMargin before it.
-func (r *runner) wasCutOff(at time.Time) bool {
+// lateRun is a run at an upstream later than a bound after its drain began.
+type lateRun struct {
+	upstream string
+	run      stand.ExecutedRequest
+	elapsed  time.Duration
+}
+
+// checkLateRuns reports the late runs whose entry cannot have been cut off from the store by cutOff.
+func (r *runner) checkLateRuns(exchanges map[string]exchange) {
+	for _, late := range r.lateRuns {
+		ex, ok := exchanges[late.run.ID]
+		if ok && r.wasCutOff(ex.entry, late.run.Started) {
+			continue
+		}
+		r.reportViolation("drain", "%s ran %s %v after its drain began", late.upstream, late.run.ID, late.elapsed)
+	}
+}
+
+// wasCutOff reports whether an entry was cut off by cutOff at a time or in the settleTime before it.
+func (r *runner) wasCutOff(entry int, at time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, d := range r.cuts {
-		if d.from.Before(at) && at.Before(d.to.Add(applyTimeout+disturbedApplyMargin)) {
+		if (d.entry == entry || d.entry < 0) && d.from.Before(at) && at.Before(d.to.Add(settleTime)) {
 			return true
 		}
 	}
@@ -250,6 +268,9 @@
 	return r.probed[random.IntN(n)]
 }
 
+// unconfirmedBody is that of a 503 from an entry whose copy of the configuration is too old.
+const unconfirmedBody = "the configuration may be out of date"
+
 // judgeProbe returns what is wrong with the response to a probe; nothing if it is right. The route is
 // given as of before and after the probe. An entry with faults may answer 503, but it must not take
 // what it does not know for what does not exist, unless the store was behind.
@@ -270,6 +291,9 @@
 		if refused && (ex.undisturbed || !storeBehind) {
 			return "the route and its key were added"
 		}
+		if ex.undisturbed && strings.TrimSpace(ex.body) == unconfirmedBody {
+			return "the route was added, and the entry has no fault"
+		}
 	}
 	return ""
 }
--- a/soak/apart_test.go
+++ b/soak/apart_test.go
@@ -19,6 +19,7 @@
 		before, after probedRoute
 		sent          time.Duration
 		status        int
+		body          string
 		disturbed     bool
 		storeBehind   bool
 		want          bool
@@ -27,6 +28,8 @@
 		"added, late":                {before: added, after: added, sent: 3 * time.Second, status: http.StatusNotFound, want: true},
 		"key added, late":            {before: added, after: added, sent: 3 * time.Second, status: http.StatusUnauthorized, want: true},
 		"added, cannot know":         {before: added, after: added, sent: 3 * time.Second, status: http.StatusServiceUnavailable, disturbed: true},
+		"added, cannot know, calm":   {before: added, after: added, sent: 3 * time.Second, status: http.StatusServiceUnavailable, body: unconfirmedBody + "\n", want: true},
+		"added, refused otherwise":   {before: added, after: added, sent: 3 * time.Second, status: http.StatusServiceUnavailable, body: "no upstream\n"},
 		"added, fault, refused":      {before: added, after: added, sent: 3 * time.Second, status: http.StatusNotFound, disturbed: true, want: true},
 		"added, fault, store behind": {before: added, after: added, sent: 3 * time.Second, status: http.StatusNotFound, disturbed: true, storeBehind: true},
 		"added, store was behind":    {before: added, after: added, sent: 3 * time.Second, status: http.StatusNotFound, storeBehind: true, want: true},
@@ -41,7 +44,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			ex := exchange{status: test.status, sentAt: start.Add(test.sent), undisturbed: !test.disturbed}
+			ex := exchange{status: test.status, body: test.body, sentAt: start.Add(test.sent), undisturbed: !test.disturbed}
 			if got := judgeProbe(test.before, test.after, ex, test.storeBehind); (got != "") != test.want {
 				t.Errorf("got %q, want a violation: %v", got, test.want)
 			}
@@ -77,3 +80,25 @@
 		t.Errorf("got kinds %v and %d of 20 runs without upstreams that join, want all kinds and some such runs", seen, without)
 	}
 }
+
+// TestWasCutOff checks that only the entry that was cut off, in that time and settleTime after it, is
+// left out of the check of drains.
+func TestWasCutOff(t *testing.T) {
+	start := time.Unix(1000, 0)
+	r := &runner{cuts: []disturbance{{from: start, to: start.Add(6 * time.Second), entry: 1}}}
+	for name, test := range map[string]struct {
+		entry int
+		at    time.Duration
+		want  bool
+	}{
+		"meanwhile":     {entry: 1, at: time.Second, want: true},
+		"soon after":    {entry: 1, at: 6*time.Second + settleTime - 1, want: true},
+		"later":         {entry: 1, at: 6*time.Second + settleTime},
+		"before":        {entry: 1, at: -1},
+		"another entry": {entry: 0, at: time.Second},
+	} {
+		if got := r.wasCutOff(test.entry, start.Add(test.at)); got != test.want {
+			t.Errorf("%s: got %v, want %v", name, got, test.want)
+		}
+	}
+}
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -200,8 +200,10 @@
 			drainedAt = again
 		}
 		for _, run := range replica.ExecutedRequests() {
-			if elapsed := run.Started.Sub(drainedAt); elapsed > applyTimeout+disturbedApplyMargin && !r.wasPaused(run.Started) && !r.wasCutOff(run.Started) {
-				r.reportViolation("drain", "%s ran %s %v after its drain began", replica.ID, run.ID, elapsed)
+			if elapsed := run.Started.Sub(drainedAt); elapsed > applyTimeout+disturbedApplyMargin && !r.wasPaused(run.Started) {
+				r.mu.Lock()
+				r.lateRuns = append(r.lateRuns, lateRun{upstream: replica.ID, run: run, elapsed: elapsed})
+				r.mu.Unlock()
 			}
 		}
 		u.draining.Store(false)
--- a/soak/run.go
+++ b/soak/run.go
@@ -135,6 +135,8 @@
 	pauses []disturbance
 	// cuts are the times in which entries were cut off by cutOff.
 	cuts []disturbance
+	// lateRuns are judged once all exchanges are known.
+	lateRuns []lateRun
 	// stops are the times in which entries were stopped and started.
 	stops []disturbance
 	// behind are the times in which the store had an older configuration, or none.
@@ -455,6 +457,7 @@
 			r.checkLimits(process, byID)
 		}
 	}
+	r.checkLateRuns(byID)
 	res := &Result{Requests: len(exchanges), Faults: r.faultCounts, Violations: append(r.violations, check(exchanges, runs, r.routes, streamEvents)...)}
 	res.Violations = append(res.Violations, checkVersions(exchanges)...)
 	for _, ex := range exchanges {
