direct: another entry records a release in place of one that does not reach the store (ORDER)

A stream of a release that had come and left went on at the old one, at an entry that had just started: the entry that keeps the record of releases was cut off from the store meanwhile, but not from its peers, so that it counted as current and nobody took over; the record lacked the release for as long as the cut lasted.

Now each entry that watches the store asks for the record if a release that it sees is not in what it knows of it for 1 s, and adds it; only the one that keeps the record begins it and drops from it. The condition of each write keeps them apart.

--- a/direct/origin.go
+++ b/direct/origin.go
@@ -43,6 +43,9 @@
 	// up. readPause is the time between two such calls, and between two readings of a record.
 	confirmTimeout = 400 * time.Millisecond
 	readPause      = 200 * time.Millisecond
+	// deputyDelay is after which another entry that watches the store adds a release to a record in
+	// place of the one that keeps it, which may not reach the store.
+	deputyDelay = time.Second
 	// minRecordTime is the shortest time for which a release stays in the record after its last
 	// upstream has left.
 	minRecordTime = time.Minute
@@ -514,6 +517,7 @@
 		return nil
 	}
 	kept := map[string]*keptRecord{}
+	lackingSince := map[string]time.Time{}
 	pausedUntil := time.Time{}
 	for ctx.Err() == nil {
 		sleepContext(ctx, recordInterval)
@@ -522,11 +526,22 @@
 			continue
 		}
 		for service, timeout := range e.recordedServices() {
-			if !e.keepsRecord(now, service) {
-				delete(kept, service)
-				continue
+			keep, keeper := max(minRecordTime, streamTimeouts*timeout), e.keepsRecord(now, service)
+			if !keeper {
+				watcher, _ := e.watchRole(now)
+				if !watcher || !e.lacksRelease(now, service, keep, kept[service]) {
+					delete(lackingSince, service)
+					continue
+				}
+				if since, ok := lackingSince[service]; !ok || now.Sub(since) < deputyDelay {
+					if !ok {
+						lackingSince[service] = now
+					}
+					continue
+				}
+				lackingSince[service], kept[service] = now, nil // The keeper may have written it since.
 			}
-			next, err := e.updateRecord(now, service, max(minRecordTime, streamTimeouts*timeout), kept[service])
+			next, err := e.updateRecord(now, service, keep, keeper, kept[service])
 			if err != nil {
 				e.log.With("service", service).Warnf("cannot keep the record of releases: %v", err)
 				pausedUntil = now.Add(recordPause)
@@ -563,10 +578,20 @@
 	return slices.Contains(watchers.Holders(xxhash.Sum64String(service), 1), e.settings.Load().Peer)
 }
 
+// lacksRelease reports whether a record, as last read or written by this entry, lacks a release that was
+// in service within a time.
+func (e *Entry) lacksRelease(now time.Time, service string, keep time.Duration, known *keptRecord) bool {
+	recent, _ := e.origins.releases.Within(now, service, keep)
+	if known == nil || known.position.Era < e.storeEra.Load() {
+		return len(recent) > 0
+	}
+	return slices.ContainsFunc(recent, func(release string) bool { return !slices.Contains(known.record.Releases, release) })
+}
+
 // updateRecord reads the record of a service unless it is known, and writes it if it lacks a
-// release, or has one that left longer than keep ago. It returns what is known of it then; nil if
-// it has to be read again.
-func (e *Entry) updateRecord(now time.Time, service string, keep time.Duration, known *keptRecord) (*keptRecord, error) {
+// release. The entry that keeps it also begins it, and drops a release that left longer than keep ago;
+// others only add to it. It returns what is known of it then; nil if it has to be read again.
+func (e *Entry) updateRecord(now time.Time, service string, keep time.Duration, keeper bool, known *keptRecord) (*keptRecord, error) {
 	if known == nil || known.position.Era < e.storeEra.Load() {
 		item, found, position, err := e.store.Get(recordPrefix+service, recordTimeout)
 		if err != nil {
@@ -582,13 +607,16 @@
 		}
 		if !found {
 			var complete bool
-			if known.record, complete = e.origins.releases.Begin(); !complete {
+			if known.record, complete = e.origins.releases.Begin(); !complete || !keeper {
 				return nil, nil
 			}
 		}
 	}
 	recent, complete := e.origins.releases.Within(now, service, keep)
-	next := e.origins.releases.Continue(known.record.Update(recent, complete))
+	next := known.record.Update(recent, complete && keeper)
+	if keeper {
+		next = e.origins.releases.Continue(next)
+	}
 	if next.Equal(known.record) || len(next.Releases) == 0 {
 		return known, nil
 	}
