direct, soak: names and comments that the review stumbled over

readFrom moved a position and is beginReading now, logConfig returned a logger and is withConfig; a comment stood above another constant than its own, and one stated as fact what is only suspected of the port. No behaviour changes.

--- a/direct/delivery_test.go
+++ b/direct/delivery_test.go
@@ -19,7 +19,7 @@
 	storeReads = 2000
 	// storeWatchers is the most entries that all watch the store.
 	storeWatchers = 7
-	// value is encoded as base64, so that an answer is larger than the configuration.
+	// answerGrowth is the size of an answer by that of its values: these are in base64.
 	answerGrowth = 4.0 / 3
 	mbit         = 1000 * 1000
 )
--- a/direct/handle.go
+++ b/direct/handle.go
@@ -281,7 +281,7 @@
 	}
 	switch outcome {
 	case reasonNoRoute, reasonUnknownKey, reasonUnconfirmed:
-		logger = e.logConfig(now, logger)
+		logger = e.withConfig(now, logger)
 	}
 	if err != nil {
 		logger = logger.With("error", err.Error())
--- a/direct/origin.go
+++ b/direct/origin.go
@@ -348,9 +348,9 @@
 	return c.ok
 }
 
-// readFrom returns the position from which the changes under a prefix are read, so that each is
-// looked at. An entry that relies on others reads on from its copy; what that skips is a gap.
-func (e *Entry) readFrom(now time.Time, prefix int) store.Position {
+// beginReading returns the position from which the changes under a prefix are read, so that each is
+// looked at. An entry that relies on others reads on from its copy, and records what that skips as a gap.
+func (e *Entry) beginReading(now time.Time, prefix int) store.Position {
 	position, _ := e.itemCaches[prefix].state()
 	watcher, _ := e.watchRole(now)
 	o := e.origins
--- a/direct/refuse.go
+++ b/direct/refuse.go
@@ -18,9 +18,9 @@
 	position store.Position
 }
 
-// logConfig adds to a log line which configuration an answer rests on, and whether a newer one can
+// withConfig adds to a log line which configuration an answer rests on, and whether a newer one can
 // exist that is not known here.
-func (e *Entry) logConfig(now time.Time, logger *meter.Logger) *meter.Logger {
+func (e *Entry) withConfig(now time.Time, logger *meter.Logger) *meter.Logger {
 	if c := e.configOrigin.Load(); c != nil {
 		logger = logger.With("since", now.Sub(c.at).Milliseconds()).With("source", string(c.source)).With("era", c.position.Era).With("revision", c.position.Revision)
 	}
@@ -40,8 +40,7 @@
 // force.
 const defaultApplyTimeout = 2 * time.Second
 
-// confirmedFraction is the fraction of that time for which a copy counts as confirmed. What a peer
-// tells of its age is older by the way of the message; the rest covers that.
+// confirmedFraction is the fraction of that time for which a copy counts as confirmed.
 const confirmedFraction = 0.9
 
 // confirmedFor returns for how much longer the entry has each configuration that must be in force;
--- a/direct/watch.go
+++ b/direct/watch.go
@@ -142,7 +142,7 @@
 	e := w.entry
 	prefix := e.codec.Prefixes[w.prefix]
 	w.changed = false
-	w.position = e.readFrom(now, w.prefix)
+	w.position = e.beginReading(now, w.prefix)
 	if w.position.Era < e.storeEra.Load() {
 		w.listed = false // Another call found that the store came back from a copy.
 	}
@@ -200,7 +200,7 @@
 // readChanges applies all changes under a prefix that the store has at a time at which the call
 // begins.
 func (e *Entry) readChanges(now time.Time, prefix int) error {
-	name, after := e.codec.Prefixes[prefix], e.readFrom(now, prefix)
+	name, after := e.codec.Prefixes[prefix], e.beginReading(now, prefix)
 	if after.IsZero() {
 		return &Error{Op: "read " + name, Kind: KindBehind, Err: errs.New("it was not listed yet")}
 	}
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -248,7 +248,7 @@
 	u.relay.resetAll()
 	next, err := stand.NewReplica(id, service, "zone-a", u.replicaAddress)
 	for end := time.Now().Add(reopenTimeout); err != nil && time.Now().Before(end); {
-		time.Sleep(acceptPause) // A process that is being started holds the old listener until it runs its program.
+		time.Sleep(acceptPause) // Another process may hold the port for a moment.
 		next, err = stand.NewReplica(id, service, "zone-a", u.replicaAddress)
 	}
 	if err != nil {
