direct: a refusal stays one after a short silence of the store (DENIED)

What callers saw: 503 "the configuration may be out of date" in place of 401 or 404, for some 0.1 s, more than a second after the store had returned from a silence of 0.4 s.

Cause: a watch that the store took before its silence may never be answered. It ended after its wait of 1 s and the client's margin of 0.7 s, and with the pause and the probe after it the copy was confirmed again after 1.85 s at the earliest, while it counts as confirmed for 1.8 s. Trace of a failed run: the call waited 1700 ms, "confirmed":1800 in the refused request's line, the listing 0.11 s after the call's end.

Fix: the wait of a watch of the configuration leaves time for an unanswered call, the pause and two more calls.

--- a/direct/refuse.go
+++ b/direct/refuse.go
@@ -43,18 +43,23 @@
 // confirmedFraction is the fraction of that time for which a copy counts as confirmed.
 const confirmedFraction = 0.9
 
-// confirmedFor returns for how much longer the entry has each configuration that must be in force;
-// negative if it may lack one.
-func (e *Entry) confirmedFor(now time.Time) time.Duration {
+// confirmedTime returns for how long a copy counts as confirmed.
+func (e *Entry) confirmedTime() time.Duration {
 	limit := e.settings.Load().ApplyTimeout
 	if limit == 0 {
 		limit = defaultApplyTimeout
 	}
+	return time.Duration(confirmedFraction * float64(limit))
+}
+
+// confirmedFor returns for how much longer the entry has each configuration that must be in force;
+// negative if it may lack one.
+func (e *Entry) confirmedFor(now time.Time) time.Duration {
 	age, ok := e.itemCaches[configPrefix].confirmedAge(now)
 	if !ok {
-		return -limit
+		return -e.confirmedTime()
 	}
-	return time.Duration(confirmedFraction*float64(limit)) - age
+	return e.confirmedTime() - age
 }
 
 // isConfigConfirmed reports whether the entry has each configuration that must be in force by now.
--- a/direct/refuse_test.go
+++ b/direct/refuse_test.go
@@ -200,3 +200,39 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 }
+
+// TestRefusalAfterSilence guards against a 503 in place of a refusal long after the store has returned
+// from a short silence: the watch that it took before may never be answered (DENIED).
+func TestRefusalAfterSilence(t *testing.T) {
+	const (
+		phases    = 5
+		phaseStep = 200 * time.Millisecond
+	)
+	for phase := range phases {
+		for name, back := range map[string]func(d *drill){
+			"as it was":       func(d *drill) { d.store.SetFaults(stand.StoreFaults{}) },
+			"from a copy":     func(d *drill) { d.comeBack(0) },
+			"without history": func(d *drill) { d.store.Compact(); d.store.SetFaults(stand.StoreFaults{}) },
+		} {
+			since := time.Duration(phase) * phaseStep
+			t.Run(name+", "+since.String()+" after a change", func(t *testing.T) {
+				t.Parallel()
+				log := &logBuffer{}
+				d := &drill{testStack: newStackOf(t, stackOptions{entries: 1, fullWait: true, log: log})}
+				d.configure(2, false)
+				d.waitForVersion(2, time.Second)
+				d.takeCopy()
+				time.Sleep(since)
+				d.store.SetFaults(stand.StoreFaults{NoResponse: true})
+				time.Sleep(awayTime)
+				back(d)
+				for end := time.Now().Add(applyTime); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+					got := d.send(context.Background(), d.entry(0), callerRequest{path: "/read/a", key: revokedKey})
+					if got.status != http.StatusUnauthorized {
+						t.Fatalf("got status %d %v, want 401", got.status, log.lastLine(t, got.id))
+					}
+				}
+			})
+		}
+	}
+}
--- a/direct/watch.go
+++ b/direct/watch.go
@@ -27,9 +27,11 @@
 	probeTimeout = 50 * time.Millisecond
 	// minWait is the shortest wait of a watch.
 	minWait = time.Millisecond
-	// confirmMargin is how long before the copy of the configuration no longer counts as confirmed
-	// a watch of it ends.
-	confirmMargin = 100 * time.Millisecond
+	// unansweredTime is what a watch that is never answered takes beyond its wait, with the pause and
+	// the two calls after it.
+	unansweredTime = time.Second
+	// maxUnansweredFraction bounds that part of the time for which a copy counts as confirmed.
+	maxUnansweredFraction = 2.0 / 3
 	// listTimeout bounds a listing; the store responds in milliseconds.
 	listTimeout = 800 * time.Millisecond
 	// minBackoff and maxBackoff bound the exponential time between the starts of calls
@@ -164,7 +166,7 @@
 		wait = e.duty.watchTime
 	}
 	if w.prefix == configPrefix {
-		wait = min(wait, max(minWait, e.confirmedFor(now)-confirmMargin))
+		wait = min(wait, e.configWait(now))
 	}
 	if !w.downSince.IsZero() {
 		wait = probeTimeout
@@ -197,6 +199,13 @@
 	return nil
 }
 
+// configWait returns how long a watch of the configuration waits: if it is not answered, a later call
+// can still confirm the copy while that counts as confirmed.
+func (e *Entry) configWait(now time.Time) time.Duration {
+	reserve := min(unansweredTime, time.Duration(maxUnansweredFraction*float64(e.confirmedTime())))
+	return max(minWait, e.confirmedFor(now)-reserve)
+}
+
 // readChanges applies all changes under a prefix that the store has at a time at which the call
 // begins.
 func (e *Entry) readChanges(now time.Time, prefix int) error {
