place: what one model has read of a prompt does not count as cached for another

What callers saw: nothing wrong in an answer. A request to a service of several models went to the upstream that had read the same parts for another model, and waited there for a prompt that was read again: by the platform's protocol a part is kept for the same model only.

Cause: the hash of a segment covered the parts up to it, not the model.

Fix: the hash of the first segment begins with the model, so that the loads, the index of upstreams by segment and what peers tell each other differ as well. Entries of two releases side by side count each other's segments as unknown.

TestCachedSegments failed in its three rows with the model left out of the hash (planted): 8000 tokens counted as cached for another model.

--- a/direct/admin.go
+++ b/direct/admin.go
@@ -120,7 +120,7 @@
 }
 
 // handleExplain writes how a request would be routed. It takes the host and path and,
-// for inference, the prompt's tokens and the ids and tokens of its shared segments.
+// for inference, the model, the prompt's tokens and the ids and tokens of its shared segments.
 func (e *Entry) handleExplain(ctx *fasthttp.RequestCtx) {
 	args := ctx.QueryArgs()
 	table := e.rules.Get()
@@ -140,7 +140,7 @@
 		id, tokens, ok := strings.Cut(field, ":")
 		n, err := strconv.Atoi(tokens)
 		if ok && err == nil {
-			q.info.Segments = place.AppendSegment(q.info.Segments, id, n)
+			q.info.Segments = place.AppendSegment(q.info.Segments, string(args.Peek("model")), id, n)
 		}
 	}
 	e.prepare(q, table)
--- a/direct/service_test.go
+++ b/direct/service_test.go
@@ -54,9 +54,9 @@
 func (w *serviceWalk) request(service string) *request {
 	q := &request{route: &rules.Route{Name: "r", Timeout: time.Second}, service: &rules.Service{Name: service, Engine: &rules.Engine{}}, log: w.entry.log}
 	q.placement = place.Request{Engine: true, PromptTokens: 200, OutputTokens: 10, Timeout: time.Second, ArrivedAt: w.now}
-	q.placement.Segments = place.AppendSegment(nil, "shared", 100)
+	q.placement.Segments = place.AppendSegment(nil, "", "shared", 100)
 	if w.random.IntN(2) == 0 {
-		q.placement.Segments = place.AppendSegment(q.placement.Segments, fmt.Sprint("part", w.random.IntN(3)), 100)
+		q.placement.Segments = place.AppendSegment(q.placement.Segments, "", fmt.Sprint("part", w.random.IntN(3)), 100)
 	}
 	return q
 }
--- a/emul/load.go
+++ b/emul/load.go
@@ -109,7 +109,7 @@
 			unique := max(10, int(float64(c.UniqueTokens)*random.ExpFloat64()))
 			jobs = append(jobs, &Job{
 				Class: c, ArrivedAt: start.Add(at), Entry: random.IntN(o.Entries),
-				Segments:     place.AppendSegment(nil, c.Name+strconv.Itoa(prefix), shared),
+				Segments:     place.AppendSegment(nil, "", c.Name+strconv.Itoa(prefix), shared),
 				PromptTokens: shared + unique, OutputTokens: max(2, int(float64(c.OutputTokens)*(0.3+1.4*random.Float64()))),
 			})
 		}
--- a/place/balancer_test.go
+++ b/place/balancer_test.go
@@ -39,10 +39,10 @@
 }
 
 // TestCachedSegments guards against ignoring the prefix cache: a prompt goes to the
-// upstream that caches its segments, whichever entry sent them, and a restarted
-// upstream has none.
+// upstream that caches its segments, whichever entry sent them; for another model, or
+// after a restart, it has none.
 func TestCachedSegments(t *testing.T) {
-	segments := AppendSegment(nil, "shared", 8000)
+	segments := AppendSegment(nil, "m", "shared", 8000)
 	for name, record := range map[string]func(*Balancer, fleet.Upstream){
 		"sent by this entry": func(b *Balancer, u fleet.Upstream) { b.Start(now, "s", u, newRequest(segments, 500)).Finish(now) },
 		"sent by another entry": func(b *Balancer, u fleet.Upstream) {
@@ -59,6 +59,10 @@
 			if got.Upstream.ID != "b" || got.Forecast.CachedTokens != 8000 {
 				t.Errorf("got %s with %d cached, want b with 8000", got.Upstream.ID, got.Forecast.CachedTokens)
 			}
+			other := AppendSegment(nil, "other", "shared", 8000)
+			if got := choose(t, b, now.Add(time.Second), c, newRequest(other, 500)); got.Forecast.CachedTokens != 0 {
+				t.Errorf("got %d cached for another model, want 0", got.Forecast.CachedTokens)
+			}
 			c[1].StartedAt = 5
 			if got := choose(t, b, now.Add(time.Second), c, newRequest(segments, 500)); got.Forecast.CachedTokens != 0 {
 				t.Errorf("got %d cached after a restart, want 0", got.Forecast.CachedTokens)
@@ -86,7 +90,7 @@
 func TestOverdue(t *testing.T) {
 	b := New(Settings{})
 	c := candidates("silent", "other")
-	segments := AppendSegment(nil, "shared", 8000)
+	segments := AppendSegment(nil, "", "shared", 8000)
 	inFlight := b.Start(now, "s", c[0].Upstream, newRequest(segments, 500))
 	later := now.Add(3 * time.Second)
 	if got := choose(t, b, later, c, newRequest(segments, 500)); got.Upstream.ID != "other" {
@@ -104,7 +108,7 @@
 func TestKVCapacity(t *testing.T) {
 	b := New(Settings{})
 	c := candidates("full", "other")
-	segments := AppendSegment(nil, "shared", 4000)
+	segments := AppendSegment(nil, "", "shared", 4000)
 	for range 4 {
 		b.Start(now, "s", c[0].Upstream, newRequest(segments, 20000))
 	}
@@ -140,7 +144,7 @@
 	at := now
 	for i := range uint64(5000) {
 		at = at.Add(20 * time.Millisecond)
-		b.StartRemote(at, i, u, newRequest(AppendSegment(nil, string(rune(i)), 100), 500))
+		b.StartRemote(at, i, u, newRequest(AppendSegment(nil, "", string(rune(i)), 100), 500))
 		b.Choose(at, "s", candidates("a"), newRequest(nil, 10))
 	}
 	if got := len(b.remoteRuns); got > 2000 {
--- a/place/choose_test.go
+++ b/place/choose_test.go
@@ -30,8 +30,8 @@
 // loadedRequest returns a request of one of three kinds, with two shared segments.
 func loadedRequest(random *rand.Rand) *Request {
 	kind := random.IntN(3)
-	segments := AppendSegment(nil, fmt.Sprint("a", random.IntN(8)), 2000)
-	segments = AppendSegment(segments, fmt.Sprint("b", random.IntN(200)), 2000*kind+500)
+	segments := AppendSegment(nil, "", fmt.Sprint("a", random.IntN(8)), 2000)
+	segments = AppendSegment(segments, "", fmt.Sprint("b", random.IntN(200)), 2000*kind+500)
 	return &Request{
 		Segments: segments, PromptTokens: 3000 + 4000*kind, OutputTokens: 100, LatencyTarget: time.Duration(300*(1+kind)) * time.Millisecond,
 		EventGapTarget: time.Duration(150+150*kind) * time.Millisecond, Timeout: 10 * time.Second, Tier: kind, RouteTier: kind,
@@ -101,7 +101,7 @@
 		ids = append(ids, c.ID)
 	}
 	ring := fleet.NewRing(ids...)
-	segments := AppendSegment(nil, "rare", 9000)
+	segments := AppendSegment(nil, "", "rare", 9000)
 	holder := list[321].Upstream
 	b.StartRemote(now, 1, holder, newRequest(segments, 500))
 	b.FinishRemote(1)
--- a/place/queue_test.go
+++ b/place/queue_test.go
@@ -142,7 +142,7 @@
 func TestTooLate(t *testing.T) {
 	b := New(Settings{})
 	c := candidates("busy", "idle")
-	segments := AppendSegment(nil, "shared", 8000)
+	segments := AppendSegment(nil, "", "shared", 8000)
 	b.Start(now, "s", c[0].Upstream, newRequest(segments, 500)).Finish(now)
 	for range 12 {
 		b.Start(now, "s", c[0].Upstream, newRequest(nil, 17000))
--- a/place/upstream.go
+++ b/place/upstream.go
@@ -17,11 +17,14 @@
 	Tokens int
 }
 
-// AppendSegment appends the segment with an id to a prompt's segments.
-func AppendSegment(segments []Segment, id string, tokens int) []Segment {
+// AppendSegment appends the segment with an id to the segments of a prompt for a model. What one
+// model has read of a prompt is of no use to another one.
+func AppendSegment(segments []Segment, model, id string, tokens int) []Segment {
 	var d xxhash.Digest
 	d.Reset()
-	if len(segments) > 0 {
+	if len(segments) == 0 {
+		_, _ = d.WriteString(model + "\x00")
+	} else {
 		var previous [8]byte
 		binary.BigEndian.PutUint64(previous[:], segments[len(segments)-1].Hash)
 		_, _ = d.Write(previous[:]) // Never fails.
