direct: entries that have met no other share the rate of an upstream with their seeds

Cause: the seeds counted for a fixed time after the start. That nobody has answered was taken for there being nobody, which it shows only to an entry without seeds.

Fix: the seeds count until the entry has met another one. One that is really alone with dead seeds hands out its share only; its settings name entries that don't exist.

--- a/direct/rate.go
+++ b/direct/rate.go
@@ -14,7 +14,8 @@
 
 const (
 	// seedTime is how long after its start an entry counts the seeds as entries that may hand
-	// out turns, also those of which it has heard nothing.
+	// out turns, also those of which it has heard nothing. One that has met no other entry cannot
+	// tell that it is alone and counts them for longer.
 	seedTime = time.Minute
 	// recheckTime is the shortest time after which a waiting request asks for a turn again.
 	recheckTime = 5 * time.Millisecond
@@ -94,7 +95,7 @@
 func (e *Entry) quotaFleet(now time.Time) quota.Fleet {
 	members := e.gossiper.Members()
 	known := members.Known(now)
-	if now.Sub(e.createdAt) < seedTime {
+	if now.Sub(e.createdAt) < seedTime || !members.HasMet() {
 		known = max(known, len(e.settings.Load().Seeds)+1)
 	}
 	return quota.Fleet{
--- a/member/alive.go
+++ b/member/alive.go
@@ -141,6 +141,13 @@
 	return max(t.count, t.known)
 }
 
+// HasMet reports whether anything was heard of another process since the start.
+func (t *Table) HasMet() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.met
+}
+
 // Find returns the address and data centre of a process, or false if it is not known.
 func (t *Table) Find(process uint64) (Record, bool) {
 	t.mu.Lock()
--- a/member/member.go
+++ b/member/member.go
@@ -101,6 +101,8 @@
 	count     int
 	known     int
 	countedAt time.Time
+	// met is set once another process was heard of.
+	met bool
 }
 
 // countInterval is how long a count of the members is used.
@@ -179,6 +181,7 @@
 	if m == nil {
 		return false
 	}
+	t.met = true
 	moved := m.Process != r.Process || m.Down
 	up = moved || !m.neighbourSince.IsZero() && now.Sub(m.advancedAt) > downAfter
 	m.Process, m.Down = r.Process, false
@@ -234,6 +237,7 @@
 	if m.Process != 0 && r.Beat <= known {
 		return
 	}
+	t.met = true
 	isNews := m.Down || m.Process != r.Process
 	if r.Centre == "" {
 		r.Centre = m.Centre
