--- a/direct/entry.go
+++ b/direct/entry.go
@@ -91,11 +91,11 @@
 	// behind has an element when the entry has fallen behind a peer.
 	behind chan struct{}
 	// relist is set, by prefix, when a peer has other items at the same position.
-	relist            []atomic.Bool
-	duty              *watchDuty
-	createdAt         time.Time
-	cacheStateFetches fetchLimiter
-	origins           *originTracker
+	relist    []atomic.Bool
+	duty      *watchDuty
+	createdAt time.Time
+	join      *peerJoin
+	origins   *originTracker
 	// limitCursor is the place in the list of limits of the next one in a full message.
 	limitCursor    int
 	bodyMemory     memoryLimiter
@@ -148,6 +148,7 @@
 		relist:          make([]atomic.Bool, len(codec.Prefixes)),
 		duty:            newWatchDuty(s.ApplyTimeout),
 		createdAt:       time.Now(),
+		join:            newPeerJoin(time.Now(), s.First || len(s.Seeds) == 0),
 		origins:         newOriginTracker(time.Now(), s.First, len(codec.Prefixes)),
 	}
 	e.ending, e.endRequests = context.WithCancel(context.Background())
@@ -164,7 +165,7 @@
 	e.gossiper.Snapshot = e.snapshot
 	e.gossiper.CacheState = e.cacheState
 	e.gossiper.Limits = e.limitsInTurn
-	e.gossiper.OnPeerUp = e.fetchCacheState
+	e.gossiper.OnPeerUp = e.joinPeer
 	return e
 }
 
--- a/direct/handle.go
+++ b/direct/handle.go
@@ -114,6 +114,7 @@
 	}
 	ctx, cancel := e.requestContext(r)
 	defer cancel()
+	e.join.wait(ctx, now)
 	e.forward(ctx, w, q)
 }
 
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -412,63 +412,9 @@
 	e.recordLag(now, &e.keptLag, mine > 0 && version > mine, process, local)
 }
 
-// cacheStateInterval is the shortest time between two fetches of cache state.
-const cacheStateInterval = 2 * time.Second
-
-// fetchLimiter limits the rate of fetches of cache state. The zero value is ready
-// to use.
-type fetchLimiter struct {
-	mu sync.Mutex
-	at time.Time
-}
-
-func (l *fetchLimiter) due(now time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if !l.at.IsZero() && now.Sub(l.at) < cacheStateInterval {
-		return false
-	}
-	l.at = now
-	return true
-}
-
-// fetchCacheState fetches the cache state of a peer that is newly alive: this entry
-// has just started, or the network between the two was interrupted.
-func (e *Entry) fetchCacheState(now time.Time, address string) {
-	if e.stopping.Load() || !e.cacheStateFetches.due(now) {
-		return
-	}
-	e.group.Go(func() error {
-		reply, err := e.gossiper.FetchCacheState(address)
-		if err != nil {
-			e.log.With("peer", address).Warnf("cannot fetch cache state from the peer: %v", err)
-			return nil
-		}
-		e.mergeEvidence(time.Now(), reply.GetCrashes(), nil)
-		e.mergeDepartures(time.Now(), reply.GetLeaving())
-		e.mergeLimits(time.Now(), reply.GetLimits(), false)
-		e.gossiper.Members().Merge(time.Now(), relay.DecodeMembers(reply.GetMembers()))
-		n := 0
-		for _, c := range reply.GetCaches() {
-			u, ok := e.fleet.FindHash(c.GetUpstream())
-			if !ok || len(c.GetHashes()) != len(c.GetTokens()) {
-				continue
-			}
-			segments := make([]place.Segment, len(c.GetHashes()))
-			for i, h := range c.GetHashes() {
-				segments[i] = place.Segment{Hash: h, Tokens: int(c.GetTokens()[i])}
-			}
-			n += len(segments)
-			e.balancer.MergeCache(time.Now(), u, segments, time.Duration(c.GetBacklog())*time.Millisecond)
-		}
-		e.log.With("peer", address).Infof("fetched cache state of %d prompt segments from the peer", n)
-		return nil
-	})
-}
-
 // cacheState returns the estimated prompt caches and backlogs of the engines.
 func (e *Entry) cacheState(now time.Time) *wire.CacheStateReply {
-	reply := &wire.CacheStateReply{Members: relay.EncodeMembers(e.gossiper.Members().Alive(now)), Crashes: e.encodeEvidence(now)}
+	reply := &wire.CacheStateReply{Members: relay.EncodeMembers(e.gossiper.Members().Alive(now)), Crashes: e.encodeEvidence(now), Complete: e.join.isComplete(now)}
 	for _, d := range e.fleet.Departures() {
 		reply.Leaving = append(reply.Leaving, encodeDeparture(now, d))
 	}
