--- a/tests/drill_test.go
+++ b/tests/drill_test.go
@@ -197,14 +197,8 @@
 	for i := range drillEntries {
 		d.addEntry(i, ips)
 	}
-	for i, p := range d.entries {
-		deadline := time.Now().Add(drillStart)
-		for !d.isReady(i) {
-			if time.Now().After(deadline) {
-				t.Fatalf("%s ready: not within %v", p.name, drillStart)
-			}
-			time.Sleep(20 * time.Millisecond)
-		}
+	for i := range d.entries {
+		d.waitReady(i)
 	}
 	for i := range d.entries {
 		for kind := range probeKinds {
@@ -301,6 +295,22 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+// waitReady waits until an entry is ready.
+func (d *configDrill) waitReady(i int) {
+	d.t.Helper()
+	for deadline := time.Now().Add(drillStart); !d.isReady(i); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			d.t.Errorf("%s ready: not within %v", d.entries[i].name, drillStart)
+			return
+		}
+	}
+}
+
+// newDrillClient returns the client of one caller.
+func newDrillClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{}, Timeout: probeTimeout}
+}
+
 // begin records that something is disturbed from now on; the returned function ends it.
 func (d *configDrill) begin(f drillFault) (end func()) {
 	f.from = time.Now()
@@ -499,7 +509,7 @@
 
 // runCaller sends probes of a kind to an entry over a kept connection until the drill stops.
 func (d *configDrill) runCaller(entry int, kind string) {
-	client := &http.Client{Transport: &http.Transport{}, Timeout: probeTimeout}
+	client := newDrillClient()
 	defer client.CloseIdleConnections()
 	for n := 0; ; n++ {
 		select {
