soak: upstreams that read large bodies late, behind small windows

An upstream reads 32 KiB of a connection and leaves the rest unread for 0.5 to 10 s while bodies of 768 KiB come and small requests pass; every second upstream has a receive buffer of 64 KiB.

--- a/soak/plan.go
+++ b/soak/plan.go
@@ -42,7 +42,7 @@
 
 // FaultKinds returns every kind of fault.
 func FaultKinds() []string {
-	return slices.Concat(entryFaultKinds, upstreamFaultKinds, storeFaultKinds, seriesKinds, answerKinds, bulkKinds, limitKinds, returnKinds, apartKinds)
+	return slices.Concat(entryFaultKinds, upstreamFaultKinds, storeFaultKinds, seriesKinds, answerKinds, bulkKinds, readerKinds, limitKinds, returnKinds, apartKinds)
 }
 
 // NewSeries draws the events in series of a run. They have a random source of their own,
--- a/soak/relay.go
+++ b/soak/relay.go
@@ -16,20 +16,27 @@
 	delay    atomic.Int64 // Delay before each write, nanoseconds.
 	// stalled holds back all data; upStalled and downStalled hold back one direction.
 	stalled, upStalled, downStalled atomic.Bool
-	mu                              sync.Mutex
-	conns                           map[net.Conn]bool
-	wg                              sync.WaitGroup
+	// readsLate holds back what follows the first lateReadBytes of a connection to the target.
+	readsLate atomic.Bool
+	// receiveBytes is the receive buffer of accepted connections; 0 for the system's.
+	receiveBytes int
+	mu           sync.Mutex
+	conns        map[net.Conn]bool
+	wg           sync.WaitGroup
 }
 
+// lateReadBytes are read at once by an upstream that reads late, so that small requests pass.
+const lateReadBytes = 32 << 10
+
 // acceptPause is the time between two tries to accept a connection.
 const acceptPause = 20 * time.Millisecond
 
-func newRelay(listen, target string) (*relay, error) {
+func newRelay(listen, target string, receiveBytes int) (*relay, error) {
 	l, err := net.Listen("tcp", listen)
 	if err != nil {
 		return nil, err
 	}
-	r := &relay{listener: l, target: target, conns: map[net.Conn]bool{}}
+	r := &relay{listener: l, target: target, receiveBytes: receiveBytes, conns: map[net.Conn]bool{}}
 	r.wg.Go(r.accept)
 	return r, nil
 }
@@ -49,10 +56,15 @@
 			reset(c)
 			continue
 		}
+		if tcp, ok := c.(*net.TCPConn); ok && r.receiveBytes > 0 {
+			_ = tcp.SetReadBuffer(r.receiveBytes) // The system's stays.
+		}
 		r.track(c, targetConn)
 		var directions sync.WaitGroup
-		directions.Go(func() { r.copy(c, targetConn, &r.downStalled) })
-		directions.Go(func() { r.copy(targetConn, c, &r.upStalled) })
+		directions.Go(func() { r.copy(c, targetConn, func(int) bool { return r.downStalled.Load() }) })
+		directions.Go(func() {
+			r.copy(targetConn, c, func(read int) bool { return r.upStalled.Load() || read > lateReadBytes && r.readsLate.Load() })
+		})
 		r.wg.Go(func() {
 			directions.Wait()
 			r.release(c, targetConn)
@@ -79,13 +91,16 @@
 }
 
 // copy forwards data from one connection to the other. It forwards a reset as a
-// reset and the end of the data as a half-close.
-func (r *relay) copy(to, from net.Conn, directionStalled *atomic.Bool) {
+// reset and the end of the data as a half-close. isHeld reports whether data is held back after a
+// number of bytes.
+func (r *relay) copy(to, from net.Conn, isHeld func(read int) bool) {
 	buffer := make([]byte, 16<<10)
+	read := 0
 	for {
 		n, err := from.Read(buffer)
+		read += n
 		time.Sleep(time.Duration(r.delay.Load()))
-		for r.stalled.Load() || directionStalled.Load() {
+		for r.stalled.Load() || isHeld(read) {
 			time.Sleep(10 * time.Millisecond)
 		}
 		if n > 0 {
@@ -122,6 +137,7 @@
 	r.stalled.Store(false)
 	r.upStalled.Store(false)
 	r.downStalled.Store(false)
+	r.readsLate.Store(false)
 }
 
 func (r *relay) close() {
--- a/soak/relay_test.go
+++ b/soak/relay_test.go
@@ -27,7 +27,7 @@
 			}()
 		}
 	}()
-	r, err := newRelay("127.0.0.1:0", target.Addr().String())
+	r, err := newRelay("127.0.0.1:0", target.Addr().String(), 0)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/soak/run.go
+++ b/soak/run.go
@@ -178,6 +178,7 @@
 	series.Go(r.injectSeries)
 	series.Go(r.injectAnswers)
 	series.Go(r.injectBulk)
+	series.Go(r.injectReaders)
 	series.Go(r.injectLimits)
 	series.Go(r.injectReturns)
 	series.Go(r.injectApart)
@@ -209,7 +210,7 @@
 			return err
 		}
 		u.replicaAddress = u.Address
-		if u.relay, err = newRelay("127.0.0.1:0", u.replicaAddress); err != nil {
+		if u.relay, err = newRelay("127.0.0.1:0", u.replicaAddress, receiveBytesOf(i)); err != nil {
 			return err
 		}
 		u.Address = u.relay.listener.Addr().String()
@@ -269,7 +270,7 @@
 	if err := l.Close(); err != nil {
 		return err
 	}
-	if p.storeRelay, err = newRelay("127.0.0.1:0", r.store.Address); err != nil {
+	if p.storeRelay, err = newRelay("127.0.0.1:0", r.store.Address, 0); err != nil {
 		return err
 	}
 	seedNodes := []string{}
