--- a/conn/window_test.go
+++ b/conn/window_test.go
@@ -1,15 +1,15 @@
 package conn
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"net"
-	"syscall"
 	"testing"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"cactustide/fakes"
 )
 
 // windowBytes is a small receive buffer: a peer that does not read closes its window soon.
@@ -18,16 +18,7 @@
 // newWindowServer serves one connection with a small receive buffer.
 func newWindowServer(t *testing.T, serve func(c *net.TCPConn)) string {
 	t.Helper()
-	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
-		var optErr error
-		if err := raw.Control(func(fd uintptr) {
-			optErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, windowBytes)
-		}); err != nil {
-			return err
-		}
-		return optErr
-	}}
-	l, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	l, err := fakes.ListenWindow("127.0.0.1:0", windowBytes)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/soak/relay.go
+++ b/soak/relay.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"cactustide/fakes"
 )
 
 // relay is a TCP relay that injects network faults.
@@ -18,11 +20,9 @@
 	stalled, upStalled, downStalled atomic.Bool
 	// readsLate holds back what follows the first lateReadBytes of a connection to the target.
 	readsLate atomic.Bool
-	// receiveBytes is the receive buffer of accepted connections; 0 for the system's.
-	receiveBytes int
-	mu           sync.Mutex
-	conns        map[net.Conn]bool
-	wg           sync.WaitGroup
+	mu        sync.Mutex
+	conns     map[net.Conn]bool
+	wg        sync.WaitGroup
 }
 
 // lateReadBytes are read at once by an upstream that reads late, so that small requests pass.
@@ -31,12 +31,13 @@
 // acceptPause is the time between two tries to accept a connection.
 const acceptPause = 20 * time.Millisecond
 
+// newRelay starts a relay. receiveBytes is the receive buffer of its connections; 0 for the system's.
 func newRelay(listen, target string, receiveBytes int) (*relay, error) {
-	l, err := net.Listen("tcp", listen)
+	l, err := fakes.ListenWindow(listen, receiveBytes)
 	if err != nil {
 		return nil, err
 	}
-	r := &relay{listener: l, target: target, receiveBytes: receiveBytes, conns: map[net.Conn]bool{}}
+	r := &relay{listener: l, target: target, conns: map[net.Conn]bool{}}
 	r.wg.Go(r.accept)
 	return r, nil
 }
@@ -56,9 +57,6 @@
 			reset(c)
 			continue
 		}
-		if tcp, ok := c.(*net.TCPConn); ok && r.receiveBytes > 0 {
-			_ = tcp.SetReadBuffer(r.receiveBytes) // The system's stays.
-		}
 		r.track(c, targetConn)
 		var directions sync.WaitGroup
 		directions.Go(func() { r.copy(c, targetConn, func(int) bool { return r.downStalled.Load() }) })
