direct: a test's upstream that drops its response no longer counts as one that sent it

Cause, in the test: the upstream closed 30 ms after its last byte with an unread upload. The system then resets the connection and discards what the other side has not acknowledged; nobody could deliver that.

The test now waits until the system says that all of the response is acknowledged, and then for the same 30 ms.

--- a/direct/early_test.go
+++ b/direct/early_test.go
@@ -12,6 +12,10 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
+
+	"cactustide/fakes"
 )
 
 // earlyUpstream responds as soon as it has the head of a request, while the upload is still
@@ -34,7 +38,7 @@
 
 func (s *testStack) startEarlyUpstream(u *earlyUpstream) *earlyUpstream {
 	s.t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := fakes.ListenWindow("127.0.0.1:0", u.receiveBytes) // A larger one takes the whole upload.
 	if err != nil {
 		s.t.Fatal(err)
 	}
@@ -54,9 +58,6 @@
 }
 
 func (u *earlyUpstream) respond(c *net.TCPConn) {
-	if u.receiveBytes > 0 {
-		_ = c.SetReadBuffer(u.receiveBytes) // A larger one takes the whole upload.
-	}
 	// A small buffer leaves most of the upload unread.
 	q, err := http.ReadRequest(bufio.NewReaderSize(c, 512))
 	if err != nil {
@@ -89,13 +90,30 @@
 }
 
 // dropUpload ends the response in order and closes the connection a little later without
-// reading the rest of the upload, which resets it.
+// reading the rest of the upload, which resets it. The system discards what the other side has not
+// acknowledged then, so that it waits for that, for 5 s at most.
 func dropUpload(c *net.TCPConn) {
 	_ = c.CloseWrite()
+	for end := time.Now().Add(5 * time.Second); unacknowledged(c) > 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
 	time.Sleep(30 * time.Millisecond)
 	_ = c.Close()
 }
 
+// unacknowledged returns the number of bytes that the other side has not acknowledged.
+func unacknowledged(c *net.TCPConn) (n int) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	_ = raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) }) // Closed: none.
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
 const rawHead10 = "HTTP/1.0 200 OK\r\nCactustide-Request-Id: ID\r\nCactustide-Response-Signature: s\r\n"
 
 // rawFailure returns the head of a failure to the request.
