--- a/conn/pool.go
+++ b/conn/pool.go
@@ -68,6 +68,9 @@
 	Reader *bufio.Reader
 	// Reused reports whether the connection has carried a request before.
 	Reused bool
+	// StartedAt is the start of the process at the other end, Unix milliseconds; 0 if it was not
+	// asked. It holds as long as the connection: a process that is started later does not have it.
+	StartedAt int64
 	// writing is held during a write and guards writeErr, the error of the first one that failed.
 	writing  sync.Mutex
 	writeErr error
--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -92,9 +92,11 @@
 func (e *Entry) send(ctx context.Context, q *request, to fleet.Upstream, lastEventID string) (*exchange, *failure) {
 	c, err := e.connect(time.Now(), q, to)
 	if err != nil {
-		var typed *conn.Error
-		full := errors.As(err, &typed) && typed.Kind == conn.KindFull
-		return nil, &failure{err: err, unreachable: !full, connsFull: full}
+		return nil, connectFailure(err)
+	}
+	c, failed := e.identify(ctx, q, to, c)
+	if failed != nil {
+		return nil, failed
 	}
 	if w := e.fleet.Withdrawn(time.Now(), to); w != fleet.WithdrawalNone {
 		e.pool.Discard(c)
@@ -128,6 +130,13 @@
 	return x, nil
 }
 
+// connectFailure returns the failure of an exchange for which no connection could be opened.
+func connectFailure(err error) *failure {
+	var typed *conn.Error
+	full := errors.As(err, &typed) && typed.Kind == conn.KindFull
+	return &failure{err: err, unreachable: !full, connsFull: full}
+}
+
 // connect returns a connection on which to send a request. A request that was sent to the
 // address before gets a new one: a connection that carried it may still deliver a second
 // copy of the first response, which has the same request id as the next one.
--- a/direct/forward.go
+++ b/direct/forward.go
@@ -31,8 +31,10 @@
 // forwardState is the state of forwarding one request.
 type forwardState struct {
 	tried []string
-	// unreached counts upstreams that could not be reached.
+	// unreached counts upstreams that could not be reached, or did not say which process they are;
+	// replaced counts those that are another process than the registered one.
 	unreached int
+	replaced  int
 	// executed counts upstreams that may have executed the request.
 	executed int
 	// responseStarted is set when the caller has part of the response.
@@ -126,7 +128,7 @@
 
 // choose returns the next upstream for a request, or false if there is none.
 func (e *Entry) choose(now time.Time, q *request, state *forwardState) (place.Choice, bool) {
-	if state.unreached >= maxUnreached {
+	if state.unreached >= maxUnreached || state.replaced >= maxReplaced {
 		return place.Choice{}, false
 	}
 	candidates, sampled := e.candidates(now, q, state)
@@ -352,11 +354,15 @@
 	}
 	if f.withdrawn != fleet.WithdrawalNone {
 		logger.Infof("upstream withdrawn before the request was sent")
-		if f.withdrawn == fleet.WithdrawalMisrouted {
+		switch f.withdrawn {
+		case fleet.WithdrawalMisrouted:
 			e.reroute(q)
-		}
-		if f.withdrawn == fleet.WithdrawalLimited {
+		case fleet.WithdrawalLimited:
 			state.tried = slices.DeleteFunc(state.tried, func(id string) bool { return id == to.ID }) // It may have a turn later.
+		case fleet.WithdrawalReplaced:
+			state.replaced++
+		case fleet.WithdrawalUnidentified:
+			state.unreached++
 		}
 		return false
 	}
--- a/direct/origin_test.go
+++ b/direct/origin_test.go
@@ -522,8 +522,6 @@
 
 // registerAs registers a replica as a process that was started at another time.
 func (s *streams) registerAs(r *stand.Replica, born int64) {
-	text := string(r.Registration("ready"))
-	at := strings.Index(text, `"born":`) + len(`"born":`)
-	end := at + strings.IndexAny(text[at:], ",}")
-	s.store.Put(r.StoreKey(), []byte(text[:at]+strconv.FormatInt(born, 10)+text[end:]))
+	r.SetStart(born)
+	s.store.Put(r.StoreKey(), r.Registration("ready"))
 }
--- a/direct/script_test.go
+++ b/direct/script_test.go
@@ -17,6 +17,9 @@
 type scriptedUpstream struct {
 	listener net.Listener
 	serve    func(c net.Conn, q *http.Request) bool
+	// report answers the question which process it is in place of rawReport; it is set before the
+	// upstream is registered.
+	report   func(c net.Conn) bool
 	mu       sync.Mutex
 	requests []string
 }
@@ -52,6 +55,18 @@
 		}
 		var body bytes.Buffer
 		_, _ = io.Copy(&body, q.Body) // A short body shows in the next request.
+		if q.URL.Path == stand.PathReport {
+			if u.report != nil {
+				if !u.report(c) {
+					return
+				}
+				continue
+			}
+			if _, err := io.WriteString(c, rawReport); err != nil {
+				return
+			}
+			continue
+		}
 		u.mu.Lock()
 		u.requests = append(u.requests, q.Header.Get("Cactustide-Request-Id"))
 		u.mu.Unlock()
@@ -82,6 +97,9 @@
 // requestID returns the id of a request.
 func requestID(q *http.Request) string { return q.Header.Get("Cactustide-Request-Id") }
 
+// rawReport is the report of a process with the start that register names.
+const rawReport = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n{\"born\":1}"
+
 // rawBody returns a complete response to a request, as the stand-in replica would send it.
 func rawBody(id string) string {
 	body := stand.BodyOf(id)
--- a/direct/types.go
+++ b/direct/types.go
@@ -99,7 +99,7 @@
 	InvalidRate string
 }
 
-// HeaderCodec reads and writes the platform's headers.
+// HeaderCodec reads and writes the platform's headers and what upstreams report.
 type HeaderCodec struct {
 	// ReadyPath is the path of the readiness check.
 	ReadyPath     string
@@ -112,6 +112,11 @@
 	DecodeResponse func(http.Header) ResponseInfo
 	// EncodeRequestID sets the id of the request in a response that the entry itself makes.
 	EncodeRequestID func(http.Header, string)
+	// ReportPath is the path at which upstreams report on themselves; empty if they do not.
+	// DecodeReport returns the start of the process in a report, Unix milliseconds, and whether
+	// the report names it.
+	ReportPath   string
+	DecodeReport func([]byte) (startedAt int64, named bool, err error)
 }
 
 // Change is one change in the store. At most one field is set.
--- a/fleet/belief.go
+++ b/fleet/belief.go
@@ -162,6 +162,8 @@
 	WithdrawalMisrouted Withdrawal = "misrouted"
 	// WithdrawalReplaced: its process is another one, which runs another release.
 	WithdrawalReplaced Withdrawal = "replaced"
+	// WithdrawalUnidentified: it is not known whether its process is the one that is registered.
+	WithdrawalUnidentified Withdrawal = "unidentified"
 	// WithdrawalLimited: there is no turn for the rate that the upstream names.
 	WithdrawalLimited Withdrawal = "limited"
 )
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -27,8 +27,8 @@
 	// was ignored.
 	considered store.Position
 	health     health
-	// refusedAt is when the process refused a connection: it has ended then, and the one that is
-	// started next may run another release.
+	// refusedAt is when the process was found to have ended: the one that is started next may run
+	// another release.
 	refusedAt time.Time
 	// lapsed is set when the registration was removed around an outage. lapsedUntil is the
 	// end of its grace period if another entry told of the outage; zero if it was this one's
@@ -264,7 +264,8 @@
 	return removed
 }
 
-// RecordRefused records that a process of an upstream refused a connection.
+// RecordRefused records that a process of an upstream has ended: it refused a connection, or another
+// process answers in its place.
 func (r *Registry) RecordRefused(now time.Time, id string, startedAt int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/review/probe/replica.go
+++ b/review/probe/replica.go
@@ -159,6 +159,12 @@
 }
 
 func (r *replica) handle(w http.ResponseWriter, q *http.Request) {
+	if q.URL.Path == "/v1/report" {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		_, _ = fmt.Fprintf(w, `{"running":%d,"born":%d}`, r.running, r.born) // The caller may have left.
+		return
+	}
 	id := q.Header.Get("Cactustide-Request-Id")
 	h := w.Header()
 	h.Set("Cactustide-Request-Id", id)
--- a/review/stand-3/replica.go
+++ b/review/stand-3/replica.go
@@ -121,6 +121,12 @@
 }
 
 func (r *replica) handle(w http.ResponseWriter, q *http.Request) {
+	if q.URL.Path == "/v1/report" {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		_, _ = fmt.Fprintf(w, `{"running":%d,"born":%d}`, r.busy, r.born) // The caller may have left.
+		return
+	}
 	id := q.Header.Get("Cactustide-Request-Id")
 	h := w.Header()
 	if id != "" {
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -154,6 +154,11 @@
 
 // handle works on a request and returns the answer; nil if it was sent already.
 func (r *replica) handle(c net.Conn, q *http.Request) ([]byte, bool) {
+	if q.URL.Path == "/v1/report" {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return encode("", answer{status: http.StatusOK, body: fmt.Appendf(nil, `{"running":%d,"born":%d}`, r.running, r.started)}), true
+	}
 	id := q.Header.Get("Cactustide-Request-Id")
 	if want := q.Header.Get("Cactustide-Expect-Instance"); want != "" && want != r.id {
 		return encode(id, answer{status: http.StatusMisdirectedRequest, header: map[string]string{"Cactustide-Replica-Id": r.id}}), true
