direct, relay: a large configuration comes from a peer over a slow link too (CONFIG)

What callers saw: an entry that is cut off from the store did not get a configuration of 900 KB over 4 Mbit/s, and refused its added routes for as long as the cut lasted. Besides, an entry whose peer answered nothing ended up to 13 s late, and got nothing else from its peers meanwhile.

All fetches ran one after the other, and none ended with the entry; after one of them the loop could choose its ticker in place of its end, several times.

Fix: the read deadline of the reply moves while 8 KB arrive in 700 ms, by the code that does so for the store's answers (dial.ProgressConn). Each fetch runs beside the others and ends with its context, that of the cache state too; this one keeps its fixed time, since the next peer waits for it. A reply may be slow for long now, so another peer is asked beside one that has taken 1 s, and after one that failed; two per prefix at most.

Not covered: a peer on a link below 94 kbit/s counts as without progress.

--- a/dial/dial.go
+++ b/dial/dial.go
@@ -3,6 +3,7 @@
 package dial
 
 import (
+	"context"
 	"errors"
 	"net"
 	"time"
@@ -20,14 +21,19 @@
 // timeout is set: a hung peer still accepts connections, so that only missing data reveals it; the
 // total duration of a response is not limited.
 type Conn struct {
-	net.Conn
+	ProgressConn
 	idleTimeout time.Duration
+	response    head.Scanner
+}
+
+// ProgressConn is a connection whose read deadline moves while data arrives.
+type ProgressConn struct {
+	net.Conn
 	// readDeadline bounds all reads; zero means no bound.
 	readDeadline time.Time
 	// progress extends readDeadline; arrived counts the bytes since it last did.
 	progress Progress
 	arrived  int
-	response head.Scanner
 }
 
 // Progress is the slowest rate at which a response may arrive beyond the read deadline: whenever
@@ -44,7 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{Conn: conn, idleTimeout: idleTimeout}, nil
+	return &Conn{ProgressConn: ProgressConn{Conn: conn}, idleTimeout: idleTimeout}, nil
 }
 
 // Write writes a part of a request. What is read next is its response.
@@ -54,8 +60,8 @@
 	return c.Conn.Write(p)
 }
 
-// SetReadDeadline sets a deadline for all reads, beside the idle timeout of each.
-func (c *Conn) SetReadDeadline(t time.Time) error {
+// SetReadDeadline sets a deadline for all reads, beside the idle timeout of each if there is one.
+func (c *ProgressConn) SetReadDeadline(t time.Time) error {
 	c.readDeadline = t
 	return c.Conn.SetReadDeadline(t)
 }
@@ -72,18 +78,24 @@
 			return 0, err
 		}
 	}
+	n, err := c.ProgressConn.Read(p)
+	if checked, headErr := c.response.Scan(p[:n]); headErr != nil {
+		return checked, headErr
+	}
+	return n, err
+}
+
+// Read reads until the read deadline.
+func (c *ProgressConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if extendErr := c.extend(n); extendErr != nil && err == nil {
 		err = extendErr
 	}
-	if checked, headErr := c.response.Scan(p[:n]); headErr != nil {
-		return checked, headErr
-	}
 	return n, err
 }
 
 // extend moves the read deadline after bytes have arrived.
-func (c *Conn) extend(n int) error {
+func (c *ProgressConn) extend(n int) error {
 	if c.progress.Bytes == 0 || c.readDeadline.IsZero() {
 		return nil
 	}
@@ -172,13 +184,22 @@
 // OpenProgress connects like OpenKeepAlive. A response that arrives at the rate of progress may
 // outlast the read deadline.
 func OpenProgress(address string, progress Progress) (net.Conn, error) {
+	conn, err := OpenPlain(context.Background(), address, progress)
+	if err != nil {
+		return nil, err
+	}
+	return &Conn{ProgressConn: *conn}, nil
+}
+
+// OpenPlain connects like OpenProgress, for a protocol other than HTTP. Opening ends with ctx.
+func OpenPlain(ctx context.Context, address string, progress Progress) (*ProgressConn, error) {
 	d := net.Dialer{
 		Timeout:         Timeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
 	}
-	conn, err := d.Dial("tcp", address)
+	conn, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{Conn: conn, progress: progress}, nil
+	return &ProgressConn{Conn: conn, progress: progress}, nil
 }
--- a/direct/join.go
+++ b/direct/join.go
@@ -128,7 +128,10 @@
 			if !ok {
 				return nil
 			}
-			reply, err := e.gossiper.FetchCacheState(peer)
+			reply, err := e.gossiper.FetchCacheState(e.ending, peer)
+			if e.ending.Err() != nil {
+				return nil
+			}
 			if err != nil {
 				e.log.With("peer", peer).Warnf("cannot fetch cache state from the peer: %v", err)
 				continue
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,6 +25,10 @@
 	lagCheckInterval = 100 * time.Millisecond
 	// fetchInterval is the shortest time between two fetches of a prefix.
 	fetchInterval = 80 * time.Millisecond
+	// slowFetch is how long a fetch may take before another peer is asked beside it; maxFetches
+	// bounds those in progress.
+	slowFetch  = time.Second
+	maxFetches = 2
 	// maxReportedAge bounds the age of a confirmation that is passed on.
 	maxReportedAge = time.Minute
 )
@@ -36,8 +41,11 @@
 	process uint64
 	// local is set if the peer is in the data centre of this entry.
 	local bool
-	// fetchedAt is when changes were last fetched.
+	// fetchedAt is when the last fetch of changes began, fetching the processes that fetches in
+	// progress ask, and failed the one at which the last fetch failed; 0 if it did not.
 	fetchedAt time.Time
+	fetching  []uint64
+	failed    uint64
 }
 
 // positions returns the replication position of each prefix.
@@ -210,6 +218,8 @@
 		case e.behind <- struct{}{}:
 		default:
 		}
+	case behind && (process == l.failed || slices.Contains(l.fetching, process)):
+		// Another one is asked next, if there is one.
 	case behind && (local || !l.local):
 		l.process, l.local = process, local
 	case !behind && l.process == process:
@@ -301,40 +311,74 @@
 		}
 		for i := range e.lags {
 			if process, ok := e.lags[i].due(now, limit); ok {
-				e.fetchSnapshot(i, process)
+				e.startFetch(ctx, &e.lags[i], i, process)
 			}
 		}
 		if process, ok := e.keptLag.due(now, maxLag); ok && e.rules.Version() < e.peerVersion.Load() {
-			e.fetchSnapshot(configPrefix, process) // The configuration in force comes with any prefix.
+			e.startFetch(ctx, &e.keptLag, configPrefix, process) // The configuration in force comes with any prefix.
 		}
 	}
 }
 
-// due reports whether the entry was behind for longer than a limit, and returns the
-// process to fetch from.
+// startFetch fetches from a peer beside the other fetches; a large reply may take long.
+func (e *Entry) startFetch(ctx context.Context, l *lag, prefix int, process uint64) {
+	l.beginFetch(process)
+	e.group.Go(func() error {
+		l.endFetch(process, e.fetchSnapshot(ctx, prefix, process))
+		return nil
+	})
+}
+
+// due reports whether the entry was behind for longer than a limit and a fetch may begin now, and
+// returns the process to fetch from.
 func (l *lag) due(now time.Time, limit time.Duration) (uint64, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.since.IsZero() || now.Sub(l.since) < limit || now.Sub(l.fetchedAt) < fetchInterval {
 		return 0, false
 	}
+	if n := len(l.fetching); n > 0 && (n >= maxFetches || now.Sub(l.fetchedAt) < slowFetch || slices.Contains(l.fetching, l.process)) {
+		return 0, false
+	}
 	l.since, l.fetchedAt = time.Time{}, now
 	return l.process, true
 }
 
-// fetchSnapshot fetches from a peer what this entry lacks under a prefix.
-func (e *Entry) fetchSnapshot(prefix int, process uint64) {
+// beginFetch records that a fetch from a process is in progress.
+func (l *lag) beginFetch(process uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fetching = append(l.fetching, process)
+}
+
+// endFetch records the end of a fetch from a process, and whether it succeeded.
+func (l *lag) endFetch(process uint64, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.failed = 0
+	if !ok {
+		l.failed = process
+	}
+	l.fetching = slices.DeleteFunc(l.fetching, func(p uint64) bool { return p == process })
+}
+
+// fetchSnapshot fetches from a peer what this entry lacks under a prefix, and reports whether the peer
+// answered.
+func (e *Entry) fetchSnapshot(ctx context.Context, prefix int, process uint64) bool {
 	address := e.gossiper.PeerAddress(process)
 	logger := e.log.With("prefix", e.codec.Prefixes[prefix]).With("peer", address)
 	c := e.itemCaches[prefix]
 	before, _ := c.state()
 	began := time.Now()
-	reply, err := e.gossiper.FetchSnapshot(address, &wire.SnapshotRequest{
+	reply, err := e.gossiper.FetchSnapshot(ctx, address, &wire.SnapshotRequest{
 		Prefix: uint32(prefix), Era: before.Era, After: before.Revision, Version: e.rules.Version(),
 	})
+	if ctx.Err() != nil {
+		return false
+	}
 	if err != nil {
 		logger.Warnf("cannot fetch changes from the peer: %v", err)
-		return
+		return false
 	}
 	c.settling.Lock()
 	defer c.settling.Unlock()
@@ -351,7 +395,7 @@
 		}
 	}()
 	if mine, _ := c.state(); !mine.Before(position) {
-		return
+		return true
 	}
 	if reply.GetOutage() > 0 {
 		// The peer may have learned of removals right after an outage, as lapses.
@@ -364,9 +408,10 @@
 	logger.With("before", before.Revision).With("era", position.Era).With("revision", position.Revision).With("delta", reply.GetDelta()).Infof("fetched %d items from the peer", len(items))
 	if reply.GetDelta() {
 		e.applyChanges(now, prefix, sourcePeer, store.Changes{Items: items, Position: position})
-		return
+		return true
 	}
 	e.replaceItems(now, prefix, sourcePeer, items, position)
+	return true
 }
 
 // keptConfig is the item of the configuration in force.
--- a/relay/call.go
+++ b/relay/call.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"net"
 	"net/rpc"
 	"sync"
@@ -8,12 +9,17 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"cactustide/dial"
 	"cactustide/wire"
 )
 
 const (
 	rpcName     = "Relay"
 	callTimeout = time.Second
+	// A snapshot whose first replyBytes came within callTimeout may take longer, while as many
+	// arrive within each replyWindow.
+	replyBytes  = 8 << 10
+	replyWindow = 700 * time.Millisecond
 )
 
 // Envelope is the net/rpc argument and reply. Data is an encoded message of package wire.
@@ -66,25 +72,32 @@
 
 // FetchSnapshot fetches the items that a peer stores under a prefix. If the peer still has
 // the changes after the position in the request, it sends just these; 0 asks for all items.
-func (g *Gossiper) FetchSnapshot(address string, req *wire.SnapshotRequest) (*wire.SnapshotReply, error) {
+// The fetch ends with ctx. It takes as long as a large reply arrives.
+func (g *Gossiper) FetchSnapshot(ctx context.Context, address string, req *wire.SnapshotRequest) (*wire.SnapshotReply, error) {
 	reply := &wire.SnapshotReply{}
-	return reply, call("Catch", address, req, reply)
+	return reply, call(ctx, "Catch", address, dial.Progress{Bytes: replyBytes, Window: replyWindow}, req, reply)
 }
 
-// FetchCacheState fetches a peer's estimate of the engines' caches and backlogs.
-func (g *Gossiper) FetchCacheState(address string) (*wire.CacheStateReply, error) {
+// FetchCacheState fetches a peer's estimate of the engines' caches and backlogs. The fetch ends
+// with ctx, and after callTimeout: others wait for it.
+func (g *Gossiper) FetchCacheState(ctx context.Context, address string) (*wire.CacheStateReply, error) {
 	reply := &wire.CacheStateReply{}
-	return reply, call("Recall", address, &wire.SnapshotRequest{}, reply)
+	return reply, call(ctx, "Recall", address, dial.Progress{}, &wire.SnapshotRequest{}, reply)
 }
 
 // call makes one RPC over a new connection; these RPCs are rare.
-func call(method, address string, request, reply proto.Message) error {
-	conn, err := net.DialTimeout("tcp", address, callTimeout)
+func call(ctx context.Context, method, address string, progress dial.Progress, request, reply proto.Message) error {
+	conn, err := dial.OpenPlain(ctx, address, progress)
 	if err != nil {
 		return &Error{Op: method, Kind: KindCall, Err: err}
 	}
-	defer func() { _ = conn.Close() }() // The reply was read or the call has failed.
-	if err := conn.SetDeadline(time.Now().Add(callTimeout)); err != nil {
+	defer func() { _ = conn.Close() }()                         // The reply was read or the call has failed.
+	defer context.AfterFunc(ctx, func() { _ = conn.Close() })() // Ends the call.
+	deadline := time.Now().Add(callTimeout)
+	if err := conn.SetWriteDeadline(deadline); err != nil {
+		return &Error{Op: method, Kind: KindCall, Err: err}
+	}
+	if err := conn.SetReadDeadline(deadline); err != nil {
 		return &Error{Op: method, Kind: KindCall, Err: err}
 	}
 	data, err := proto.Marshal(request)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -85,15 +85,15 @@
 func TestFetchFromPeer(t *testing.T) {
 	a, _ := newGossiper(t, 7)
 	b, _ := newGossiper(t, 8)
-	got, err := b.FetchSnapshot(a.address, &wire.SnapshotRequest{Prefix: 1})
+	got, err := b.FetchSnapshot(t.Context(), a.address, &wire.SnapshotRequest{Prefix: 1})
 	if err != nil || got.GetRevision() != 7 || got.GetItems()[0].GetRevision() != 1 {
 		t.Errorf("got %v, %v, want revision 7 of prefix 1", got, err)
 	}
-	cacheState, err := b.FetchCacheState(a.address)
+	cacheState, err := b.FetchCacheState(t.Context(), a.address)
 	if err != nil || cacheState.GetCaches()[0].GetUpstream() != 7 {
 		t.Errorf("got %v, %v, want the cache state of a", cacheState, err)
 	}
-	if _, err := b.FetchSnapshot(fakes.FreeAddress(), &wire.SnapshotRequest{}); err == nil {
+	if _, err := b.FetchSnapshot(t.Context(), fakes.FreeAddress(), &wire.SnapshotRequest{}); err == nil {
 		t.Error("got no error from a closed port, want one")
 	}
 }
@@ -233,7 +233,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		reply, err := b.FetchSnapshot(raw.Address, &wire.SnapshotRequest{Prefix: 1})
+		reply, err := b.FetchSnapshot(t.Context(), raw.Address, &wire.SnapshotRequest{Prefix: 1})
 		raw.Close()
 		if err == nil && (reply.GetRevision() != 7 || len(reply.GetItems()) != 1) {
 			t.Errorf("first %d bytes: got %v, want an error", n, reply)
