--- a/direct/stack_test.go
+++ b/direct/stack_test.go
@@ -56,6 +56,8 @@
 	hideEra bool
 	// storeAddresses gives each entry its own address of the store.
 	storeAddresses bool
+	// applyTimeout is the time within which a change must be in force; 0 means the default.
+	applyTimeout time.Duration
 	// log is where the entries log to; nil means testOutput.
 	log io.Writer
 }
@@ -133,6 +135,7 @@
 		Store: s.store.Address, First: s.options.first, MemoryBytes: 256 << 20, MaxSockets: 1000, StopTimeout: 5 * time.Second,
 		RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50, RecomputeWindow: 10 * time.Second,
 	}
+	settings.ApplyTimeout = s.options.applyTimeout
 	if s.options.memoryBytes > 0 {
 		settings.MemoryBytes = s.options.memoryBytes
 	}
