direct: a watch waits for whole milliseconds (calls to the platform)

Operators saw more calls to the store in a calm system than its watches need. The wait of a watch of the configuration is whatever time is left until the copy is too old. The store is told whole milliseconds, ends the wait up to one sooner, and the answer comes before the end that the entry reckons with: it is dated from the begin of the call, and the next watch has no time left and ends at once.

Ruled out: changes and gossip, as one entry alone shows it too.

Evidence: TestCalmCalls/500ms failed before with 53, 57 and 58 watches in 6 s, where 50 are the bound, and passes now in 5 of 5 runs.

The wait is cut to what the store is told, so that both reckon with one end.

--- a/direct/watch.go
+++ b/direct/watch.go
@@ -171,6 +171,7 @@
 	if !w.downSince.IsZero() {
 		wait = probeTimeout
 	}
+	wait = wait.Truncate(time.Millisecond) // As the store is told; the answer is dated from the end of the wait.
 	changes, err := e.store.Watch(prefix, w.position, wait)
 	if err != nil {
 		return err
