--- a/direct/duty.go
+++ b/direct/duty.go
@@ -29,6 +29,9 @@
 	freshFraction = 0.35
 	minFresh      = 700 * time.Millisecond
 	maxFresh      = 1500 * time.Millisecond
+	// maxFreshFraction is the largest fraction of that time: a copy on which an entry relies still
+	// counts as confirmed after it.
+	maxFreshFraction = 0.6
 	// ownWatchInterval is the longest time without a call to the store by an entry that
 	// relies on others.
 	ownWatchInterval = 20 * time.Second
@@ -56,6 +59,9 @@
 // newWatchDuty returns the duty for a time within which changes must be in force.
 func newWatchDuty(applyTimeout time.Duration) *watchDuty {
 	fresh := min(maxFresh, max(minFresh, time.Duration(freshFraction*float64(applyTimeout))))
+	if applyTimeout > 0 {
+		fresh = min(fresh, time.Duration(maxFreshFraction*float64(applyTimeout)))
+	}
 	return &watchDuty{fresh: fresh, watchTime: min(watchTimeout, fresh/2)}
 }
 
--- a/direct/watch.go
+++ b/direct/watch.go
@@ -27,6 +27,9 @@
 	probeTimeout = 50 * time.Millisecond
 	// minWait is the shortest wait of a watch.
 	minWait = time.Millisecond
+	// confirmMargin is how long before the copy of the configuration no longer counts as confirmed
+	// a watch of it ends.
+	confirmMargin = 100 * time.Millisecond
 	// unansweredTime is what a watch that is never answered takes beyond its wait, with the pause and
 	// the two calls after it.
 	unansweredTime = time.Second
@@ -38,6 +41,8 @@
 	// that fail.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 500 * time.Millisecond
+	// minRetryPause is the shortest time from the end of a call that failed to the next one.
+	minRetryPause = 10 * time.Millisecond
 )
 
 // source is the call by which a change reached the entry.
@@ -162,11 +167,12 @@
 		return nil
 	}
 	wait := watchTimeout
-	if _, sharing := e.watchRole(time.Now()); sharing {
+	_, sharing := e.watchRole(time.Now())
+	if sharing {
 		wait = e.duty.watchTime
 	}
 	if w.prefix == configPrefix {
-		wait = min(wait, e.configWait(now))
+		wait = min(wait, e.configWait(now, sharing))
 	}
 	if !w.downSince.IsZero() {
 		wait = probeTimeout
@@ -201,9 +207,13 @@
 }
 
 // configWait returns how long a watch of the configuration waits: if it is not answered, a later call
-// can still confirm the copy while that counts as confirmed.
-func (e *Entry) configWait(now time.Time) time.Duration {
+// can still confirm the copy while that counts as confirmed. An entry that shares the watches with others
+// waits for a short time anyway, and hears from them.
+func (e *Entry) configWait(now time.Time, sharing bool) time.Duration {
 	reserve := min(unansweredTime, time.Duration(maxUnansweredFraction*float64(e.confirmedTime())))
+	if sharing {
+		reserve = confirmMargin
+	}
 	return max(minWait, e.confirmedFor(now)-reserve)
 }
 
@@ -299,7 +309,7 @@
 	}
 	w.backoff = min(maxBackoff, max(minBackoff, 2*w.backoff))
 	// A call that took long was a pause too; the store's return must be noticed soon.
-	w.delay = max(minBackoff, w.backoff-now.Sub(began))
+	w.delay = max(minRetryPause, w.backoff-now.Sub(began))
 }
 
 // replaceItems applies a full listing of a prefix.
