--- a/direct/step_test.go
+++ b/direct/step_test.go
@@ -398,3 +398,47 @@
 		})
 	}
 }
+
+// TestStreamBegunAtRestarted guards against a stream that goes on at another release (ORDER) because the
+// upstream that began it had started again with that release, and the entry had not heard of it.
+func TestStreamBegunAtRestarted(t *testing.T) {
+	for _, name := range []string{"cut off", "late, no peers"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const length = 3 * time.Second
+			s := &streams{testStack: newStackOf(t, stackOptions{entries: 3, fullWait: true, first: true})}
+			s.store.Put("op/config", s.configOf(2, takeRoute))
+			for _, r := range s.replicas {
+				r.SetFault(s.cut)
+			}
+			for _, e := range s.entries {
+				waitFor(t, "version 2", func() bool { return s.hasVersion(e, 2) })
+				waitFor(t, "members", func() bool { return e.AliveEntries() == 3 })
+			}
+			e, r := s.entries[2], s.replicas[0]
+			impairments[name].begin(e, length)
+			r.Close()
+			next, err := stand.NewReplica(r.ID, "desk", "zone-a", r.Address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(next.Close)
+			next.Version = "v2"
+			next.SetFault(s.cut)
+			s.replicas[0] = next
+			s.store.Put(next.StoreKey(), next.Registration("ready"))
+			s.waitCaughtUp([]int{0, 1})
+			var list []stream
+			for range 10 {
+				if begun := s.begin(e); begun.version == "v2" {
+					list = append(list, begun)
+				}
+			}
+			if len(list) == 0 {
+				t.Fatal("got no stream at v2, want some")
+			}
+			s.takeUp("at the same entry", e, list, false)
+			s.takeUp("at one in touch", s.entries[0], list, false)
+		})
+	}
+}
