store: an answer is read for as long as it makes progress (CONFIG)

What operators saw: a large document never came into force at an entry behind a slow link, and ctl could not read it: each call to the service had a fixed time for the whole answer, 2 s.

Cause: a bound on the duration where one on silence is meant, the same class as in the other face's client, by reading.

Fix: an answer whose first 8 KiB came within the time of the call may go on while as many arrive in each 0.7 s; at most 64 MiB. A service that does not answer is given up after 2 s as before.

An answer that stands still or trickles is given up within the time of the call, or within 1 s of its last byte.

--- a/store/store.go
+++ b/store/store.go
@@ -7,6 +7,7 @@
 import (
 	"encoding/base64"
 	"encoding/json"
+	"net"
 	"net/url"
 	"strconv"
 	"strings"
@@ -98,6 +99,21 @@
 	OnCall func(op string, failed bool)
 }
 
+// maxAnswerBytes bounds an answer, whose time has no bound.
+const maxAnswerBytes = 64 << 20
+
+// An answer whose first answerBytes came within the time of its call may take longer, while as many
+// arrive within each answerWindow.
+const (
+	answerBytes  = 8 << 10
+	answerWindow = 700 * time.Millisecond
+)
+
+// Open connects to a store.
+func Open(address string) (net.Conn, error) {
+	return dial.OpenProgress(address, dial.Progress{Bytes: answerBytes, Window: answerWindow})
+}
+
 type consul struct {
 	address string
 	http    *fasthttp.Client
@@ -110,9 +126,10 @@
 	h := &consul{
 		address: address,
 		http: &fasthttp.Client{
-			Dial:                      dial.OpenKeepAlive,
+			Dial:                      Open,
 			NoDefaultUserAgentHeader:  true,
 			MaxConnsPerHost:           maxConns,
+			MaxResponseBodySize:       maxAnswerBytes,
 			MaxIdemponentCallAttempts: 1,
 			RetryIfErr:                dial.NeverResend,
 		},
