direct: how long a copy counts as confirmed stands in a package of its own

Nothing that callers see changes. The other face needs the same decision: for how long what a copy of the configuration does not have counts as absent, and as of when the store confirmed it. Both move to fresh, as they were; direct uses them from there.

In age_test.go a constant has its new name.

--- a/direct/age_test.go
+++ b/direct/age_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"cactustide/fresh"
 	"cactustide/meter"
 	"cactustide/rules"
 	"cactustide/setup"
@@ -52,7 +53,7 @@
 	for _, limit := range []time.Duration{0, time.Second, 2 * time.Second, 5 * time.Second} {
 		apply := limit
 		if apply == 0 {
-			apply = defaultApplyTimeout
+			apply = fresh.DefaultApplyTimeout
 		}
 		for _, way := range []time.Duration{0, time.Millisecond, 50 * time.Millisecond, apply / 11} {
 			t.Run(fmt.Sprint(limit, " ", way), func(t *testing.T) {
--- a/direct/cache.go
+++ b/direct/cache.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"cactustide/fresh"
 	"cactustide/store"
 )
 
@@ -32,9 +33,8 @@
 	log      []store.Item
 	logBytes int
 	logFrom  store.Position
-	// confirmedAt is the latest time at which the store had nothing newer, as it told this
-	// or another entry.
-	confirmedAt time.Time
+	// confirmation is when the store had nothing newer, as it told this or another entry.
+	confirmation fresh.Confirmation
 	// differsSince is since when a peer has other items at the same position.
 	differsSince time.Time
 	// lastResponse is when the store last responded, downSince when it stopped
@@ -129,19 +129,13 @@
 
 // confirm records that the store had nothing newer at a time.
 func (c *itemCache) confirm(at time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if at.After(c.confirmedAt) {
-		c.confirmedAt = at
-	}
+	c.confirmation.Confirm(at)
 }
 
 // confirmedAge returns the time since the store had nothing newer, or false if that is not
 // known.
 func (c *itemCache) confirmedAge(now time.Time) (time.Duration, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return max(0, now.Sub(c.confirmedAt)), !c.confirmedAt.IsZero()
+	return c.confirmation.Age(now)
 }
 
 // advance records that the copy is complete up to a position of its era: a peer with the same
--- a/direct/refuse.go
+++ b/direct/refuse.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"cactustide/fresh"
 	"cactustide/meter"
 	"cactustide/store"
 )
@@ -36,20 +37,9 @@
 	return logger
 }
 
-// defaultApplyTimeout is used where the settings name no time within which a change must be in
-// force.
-const defaultApplyTimeout = 2 * time.Second
-
-// confirmedFraction is the fraction of that time for which a copy counts as confirmed.
-const confirmedFraction = 0.9
-
 // confirmedTime returns for how long a copy counts as confirmed.
 func (e *Entry) confirmedTime() time.Duration {
-	limit := e.settings.Load().ApplyTimeout
-	if limit == 0 {
-		limit = defaultApplyTimeout
-	}
-	return time.Duration(confirmedFraction * float64(limit))
+	return fresh.ConfirmedTime(e.settings.Load().ApplyTimeout)
 }
 
 // confirmedFor returns for how much longer the entry has each configuration that must be in force;
