entry: refuses what its document lacks only while that is confirmed (DENIED)

What callers saw: 404, 401, or 400 for a class, from an entry whose document was of any age: out of touch with the platform's service, or kept after the service had come back from an older copy. After a silence of the service of 0.4 s, whose calls are never answered, nothing that was written came into force for 35 s, with the same refusals.

A watch waited for 30 s and 5 s more.

Fix: such a refusal holds while the service had nothing newer within 1.8 s, dated from the begin of a call whose document is the one in force; else 503 with the code unconfirmed and Retry-After. A refusal asks for the index of the document without its value when the last confirmation is older than 1 s, at most once in 0.4 s for all callers, and waits 0.4 s at most if it does not count as confirmed. So nothing is asked while nothing is refused, and a call that is not answered leaves time for the next one. What the call finds newer is read and decides the request anew. A watch waits 4 s and is given up 2 s later; a document above 128 KiB is not sent again at its end. The service is asked for consistent answers.

Each such refusal has a line with version, since, source, index, stored, confirmed and down.

The fake service can be silent, and lists keys without values.

Before, with the same tests: TestRefusalUnconfirmed 404 in 5 of 5 rows, TestRefusalLogged no line in 6 of 6, TestRefusalAfterSilence "generation 1 after 6s" in 20 of 20, TestSlowDelivery 404 2.0 s after the service was written. All pass now, with the race detector. In config_test.go a call has its new arguments.

Not covered: a service that comes back from an older copy with the same index, and documents written there with a generation that is in force already: they never come into force, unknown names get 503.

--- a/entry/config_test.go
+++ b/entry/config_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"sync"
 	"testing"
+	"time"
 
 	"cactustide/config"
 	"cactustide/meter"
@@ -24,7 +25,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			wait.Go(func() { e.applyDocument(data) })
+			wait.Go(func() { e.applyDocument(time.Now(), sourceStore, data) })
 		}
 		wait.Wait()
 		if got, want := e.configIndex.Load().document.Generation, e.config.Generation(); got != want {
--- a/entry/conns.go
+++ b/entry/conns.go
@@ -215,7 +215,7 @@
 	e.applyState(reply.GetState())
 	c.reached.Store(true)
 	if len(reply.GetDocument()) > 0 {
-		e.applyDocument(reply.GetDocument())
+		e.applyDocument(time.Now(), sourceAgent, reply.GetDocument())
 	}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -55,10 +55,8 @@
 const (
 	// maxMissedSyncs is how many syncs an agent may miss before it gets no
 	// requests.
-	maxMissedSyncs  = 6
-	watchTimeout    = 30 * time.Second
-	watchRetryDelay = 500 * time.Millisecond
-	usageInterval   = 5 * time.Second
+	maxMissedSyncs = 6
+	usageInterval  = 5 * time.Second
 	// unreadyPeriod is how long a stopping entry still serves new requests after
 	// its readiness check has begun to fail, so that the load balancer notices.
 	unreadyPeriod = 2 * time.Second
@@ -79,6 +77,7 @@
 	applying     sync.Mutex
 	config       config.Holder
 	configIndex  atomic.Pointer[configIndex]
+	document     *documentCopy
 	table        *route.Table
 	crashRecords *retry.CrashRecords
 	unused       unusedConns
@@ -96,8 +95,10 @@
 	adminServer  *fasthttp.Server
 	servers      sync.WaitGroup
 	cancel       context.CancelFunc
-	group        *errgroup.Group
-	sequence     atomic.Uint64
+	// ending ends when the entry is closed.
+	ending   context.Context
+	group    *errgroup.Group
+	sequence atomic.Uint64
 }
 
 // New returns an entry. Start runs it.
@@ -109,6 +110,7 @@
 		scope:         m.Scope,
 		scrapeHandler: m.ScrapeHandler,
 		platform:      store.New(s.Platform),
+		document:      &documentCopy{},
 		jobClient:     newJobClient(s.ProgressTimeout),
 		table:         route.New(maxMissedSyncs * s.SyncInterval),
 		crashRecords:  retry.NewCrashRecords(),
@@ -126,7 +128,7 @@
 // *Error if a listener cannot be opened.
 func (e *Entry) Start() error {
 	ctx, cancel := context.WithCancel(context.Background())
-	e.cancel = cancel
+	e.cancel, e.ending = cancel, ctx
 	e.group, ctx = errgroup.WithContext(ctx)
 	if err := e.listen(); err != nil {
 		cancel()
@@ -211,90 +213,6 @@
 	return e.process + "-" + strconv.FormatUint(e.sequence.Add(1), 36)
 }
 
-// watchDocument applies each newer configuration document of the platform's
-// service.
-func (e *Entry) watchDocument(ctx context.Context) error {
-	var index uint64
-	platformDown := false
-	for ctx.Err() == nil {
-		pair, newIndex, err := e.watchOnce(ctx, index)
-		if ctx.Err() != nil {
-			return nil
-		}
-		e.logPlatform(&platformDown, err)
-		if err == nil && pair.Version != 0 {
-			e.applyDocument(pair.Value)
-		}
-		if err == nil && newIndex > index {
-			index = newIndex
-			continue
-		}
-		if err != nil || newIndex < index {
-			index = 0 // The service may have restarted.
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(watchRetryDelay):
-		}
-	}
-	return nil
-}
-
-// logPlatform logs when watching the document starts to fail and when it recovers.
-func (e *Entry) logPlatform(wasDown *bool, err error) {
-	switch {
-	case err != nil && !*wasDown:
-		e.log.Warnf("watching the configuration document failed: %v", err)
-	case err == nil && *wasDown:
-		e.log.Infof("platform is reachable again")
-	}
-	*wasDown = err != nil
-}
-
-// watchResult is what one call of store.Client.Watch returned.
-type watchResult struct {
-	pair  store.Pair
-	index uint64
-	err   error
-}
-
-// watchOnce waits for a change of the document, for watchTimeout or for the end
-// of ctx. The call to the platform cannot be cancelled: when ctx ends, it goes on
-// in the background and its result is discarded.
-func (e *Entry) watchOnce(ctx context.Context, index uint64) (store.Pair, uint64, error) {
-	results := make(chan watchResult, 1)
-	go func() {
-		pair, newIndex, err := e.platform.Watch(e.settings.Prefix+wire.DocumentKey, index, watchTimeout)
-		results <- watchResult{pair: pair, index: newIndex, err: err}
-	}()
-	select {
-	case r := <-results:
-		return r.pair, r.index, r.err
-	case <-ctx.Done():
-		return store.Pair{}, 0, ctx.Err()
-	}
-}
-
-func (e *Entry) applyDocument(data []byte) {
-	d, err := wire.DecodeDocument(data)
-	if err != nil {
-		e.log.Errorf("decoding the configuration document failed: %v", err)
-		return
-	}
-	e.applying.Lock()
-	adopted := e.config.Adopt(d)
-	if adopted {
-		e.configIndex.Store(newConfigIndex(d))
-	}
-	e.applying.Unlock()
-	if !adopted {
-		return
-	}
-	e.scope.Gauge("generation").Update(float64(d.Generation))
-	e.log.Infof("applied configuration generation %d, preset %s", d.Generation, d.Preset)
-	e.syncAll()
-}
-
 // usageLoop calls writeUsage at each usageInterval until the context ends.
 func (e *Entry) usageLoop(ctx context.Context) error {
 	for {
--- a/entry/error.go
+++ b/entry/error.go
@@ -29,6 +29,8 @@
 	// RetryAfter is the time after which a retry may succeed, seconds; 0 means that
 	// none will.
 	RetryAfter int
+	// absent is set if the document in force lacks what the request names; a newer one may have it.
+	absent bool
 }
 
 // Headers of callers' requests and of responses to them.
@@ -83,6 +85,22 @@
 	ctx.SetBody(e.encode(id))
 }
 
+// asAbsent marks the error as one for something that the document in force lacks.
+func (e *APIError) asAbsent() *APIError {
+	e.absent = true
+	return e
+}
+
+func unconfirmedError() *APIError {
+	return &APIError{
+		Status:     fasthttp.StatusServiceUnavailable,
+		Code:       "unconfirmed",
+		Message:    "the configuration may be out of date",
+		Execution:  ExecutionNone,
+		RetryAfter: shortRetryAfter,
+	}
+}
+
 func invalidRequest(param, message string) *APIError {
 	return &APIError{Status: fasthttp.StatusBadRequest, Code: "invalid", Message: message, Param: param, Execution: ExecutionNone}
 }
--- a/entry/handle.go
+++ b/entry/handle.go
@@ -28,7 +28,12 @@
 		(&APIError{Status: fasthttp.StatusServiceUnavailable, Code: "unready", Message: "no configuration yet", Execution: ExecutionNone, RetryAfter: shortRetryAfter}).write(ctx, id)
 		return
 	}
-	owner, apiErr := idx.identify(ctx)
+	var owner keyOwner
+	apiErr := e.withDocument(id, idx, func(current *configIndex) (err *APIError) {
+		idx = current
+		owner, err = current.identify(ctx)
+		return err
+	})
 	if apiErr != nil {
 		apiErr.write(ctx, id)
 		return
@@ -49,7 +54,7 @@
 type requestParser func(*fasthttp.RequestCtx, *configIndex, *request) *APIError
 
 func (e *Entry) handleRequest(ctx *fasthttp.RequestCtx, idx *configIndex, r *request, parse requestParser) {
-	if apiErr := parse(ctx, idx, r); apiErr != nil {
+	if apiErr := e.withDocument(r.id, idx, func(current *configIndex) *APIError { return parse(ctx, current, r) }); apiErr != nil {
 		e.recordOutcome(r, usage.Invalid, false)
 		apiErr.write(ctx, r.id)
 		return
--- a/entry/index.go
+++ b/entry/index.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -24,6 +25,9 @@
 	classes  map[string]config.Class
 	services map[string]config.Service
 	keys     map[string]keyOwner
+	// at is when the document came into force, source how it reached the entry.
+	at     time.Time
+	source source
 }
 
 func newConfigIndex(d *config.Document) *configIndex {
@@ -60,7 +64,7 @@
 	sum := sha256.Sum256([]byte(key))
 	owner, ok := idx.keys[hex.EncodeToString(sum[:])]
 	if !ok {
-		return keyOwner{}, unauthorized("the API key is not known")
+		return keyOwner{}, unauthorized("the API key is not known").asAbsent()
 	}
 	return owner, nil
 }
@@ -76,7 +80,7 @@
 	}
 	if name != owner.team.Class && !slices.Contains(owner.team.Classes, name) {
 		allowed := append([]string{owner.team.Class}, owner.team.Classes...)
-		return config.Class{}, invalidRequest(param, "class "+name+" is not allowed for this team; one of "+strings.Join(allowed, ", "))
+		return config.Class{}, invalidRequest(param, "class "+name+" is not allowed for this team; one of "+strings.Join(allowed, ", ")).asAbsent()
 	}
 	return idx.classes[name], nil
 }
--- a/entry/request.go
+++ b/entry/request.go
@@ -108,7 +108,7 @@
 	path = "/" + path
 	service, ok := idx.services[name]
 	if !ok {
-		return &APIError{Status: fasthttp.StatusNotFound, Code: "service", Message: "there is no service " + name, Execution: ExecutionNone}
+		return &APIError{Status: fasthttp.StatusNotFound, Code: "service", Message: "there is no service " + name, Execution: ExecutionNone, absent: true}
 	}
 	class, apiErr := idx.classify(r.owner, headerClass, string(ctx.Request.Header.Peek(headerClass)))
 	if apiErr != nil {
--- a/fakes/kv.go
+++ b/fakes/kv.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/base64"
 	"encoding/json"
+	"io"
 	"math/rand/v2"
+	"net"
 	"strconv"
 	"strings"
 	"sync"
@@ -26,6 +28,8 @@
 	// Stale is the probability that a read returns the value before the last
 	// write.
 	Stale float64
+	// Silent leaves each call without an answer that is taken while it is set or waits then.
+	Silent bool
 }
 
 type kvValue struct {
@@ -57,6 +61,8 @@
 	hosts   map[string]KVHost
 	rng     *rand.Rand
 	calls   map[string]int
+	// silences counts how often Silent was set.
+	silences int
 }
 
 // StartKV starts the service at address. The seed determines the random faults.
@@ -74,8 +80,11 @@
 // SetFaults replaces the faults.
 func (kv *KV) SetFaults(f KVFaults) {
 	kv.mu.Lock()
+	defer kv.mu.Unlock()
+	if f.Silent {
+		kv.silences++
+	}
 	kv.faults = f
-	kv.mu.Unlock()
 }
 
 // SetHost adds or replaces a host of the list.
@@ -125,11 +134,21 @@
 		return
 	}
 	kv.mu.Lock()
-	f := kv.faults
+	f, silences := kv.faults, kv.silences
 	kv.mu.Unlock()
+	defer func() {
+		kv.mu.Lock()
+		defer kv.mu.Unlock()
+		if f.Silent || kv.silences != silences {
+			leaveUnanswered(ctx)
+		}
+	}()
 	if f.Slow > 0 {
 		time.Sleep(time.Duration(f.Slow) * time.Millisecond)
 	}
+	if f.Silent {
+		return // Without an effect.
+	}
 	if f.Down || kv.chance(f.Drop) {
 		abortRequest(ctx)
 		return
@@ -161,6 +180,12 @@
 	ctx.Hijack(resetConn)
 }
 
+// leaveUnanswered keeps the connection without a response until the client closes it.
+func leaveUnanswered(ctx *fasthttp.RequestCtx) {
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(c net.Conn) { _, _ = io.Copy(io.Discard, c) })
+}
+
 type kvPair struct {
 	Key         string
 	Value       string
@@ -194,6 +219,15 @@
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 		return
 	}
+	if args.Has("keys") {
+		names := []string{}
+		for _, p := range pairs {
+			names = append(names, p.Key)
+		}
+		data, _ := json.Marshal(names)
+		ctx.SetBody(data)
+		return
+	}
 	data, _ := json.Marshal(pairs)
 	ctx.SetBody(data)
 }
--- a/store/slow_test.go
+++ b/store/slow_test.go
@@ -82,3 +82,32 @@
 		})
 	}
 }
+
+// TestIndex checks that the index of a key is read without its value, and that an answer without one is
+// an error: it would count as that of a key which has not changed.
+func TestIndex(t *testing.T) {
+	for name, test := range map[string]struct {
+		response string
+		want     uint64
+		fails    bool
+	}{
+		"a key":    {response: "HTTP/1.1 200 OK\r\nX-Consul-Index: 3\r\nContent-Length: 5\r\n\r\n[\"k\"]", want: 3},
+		"no key":   {response: "HTTP/1.1 404 Not Found\r\nX-Consul-Index: 3\r\nContent-Length: 0\r\n\r\n", want: 3},
+		"no index": {response: "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n[\"k\"]", fails: true},
+		"an error": {response: "HTTP/1.1 500 Error\r\nX-Consul-Index: 3\r\nContent-Length: 0\r\n\r\n", fails: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newRawClient(t, func(conn *net.TCPConn) {
+				defer conn.Close()
+				request := make([]byte, 4<<10)
+				if _, err := conn.Read(request); err == nil {
+					_, _ = conn.Write([]byte(test.response))
+				}
+			})
+			got, err := c.Index("k", 1, 0, CallTimeout)
+			if got != test.want || err != nil != test.fails {
+				t.Errorf("got index %d, error %v, want %d, an error: %v", got, err, test.want, test.fails)
+			}
+		})
+	}
+}
--- a/store/store.go
+++ b/store/store.go
@@ -54,8 +54,10 @@
 const CallTimeout = 2 * time.Second
 
 const (
-	maxConns    = 64
-	watchMargin = 5 * time.Second
+	maxConns = 64
+	// watchMargin is the time that a watch may take beyond its wait; the service adds up to a sixteenth
+	// of the wait itself.
+	watchMargin = CallTimeout
 	pathKV      = "/v1/kv/"
 	pathService = "/v1/health/service/"
 )
@@ -87,6 +89,9 @@
 	// Watch blocks until the key changes after index or the wait ends. It returns the
 	// index for the next call.
 	Watch func(key string, index uint64, wait time.Duration) (Pair, uint64, error)
+	// Index returns the index of the last change of a key, or of those that begin with it, without
+	// the value. It waits like Watch, and fails a time after the wait.
+	Index func(key string, index uint64, wait, margin time.Duration) (uint64, error)
 	// List reads all keys under a prefix.
 	List func(prefix string) ([]Pair, error)
 	// Swap writes a value if the key still has the version; 0 creates the key. It
@@ -143,6 +148,7 @@
 	}
 	c.Get = h.get
 	c.Watch = h.watch
+	c.Index = h.index
 	c.List = h.list
 	c.Swap = h.swap
 	c.Put = h.put
@@ -255,12 +261,31 @@
 	return pairs[0], nil
 }
 
-func (h *consul) watch(key string, index uint64, wait time.Duration) (Pair, uint64, error) {
-	query := url.Values{
-		"index": {strconv.FormatUint(index, 10)},
-		"wait":  {strconv.FormatInt(int64(wait/time.Millisecond), 10) + "ms"},
+// waitQuery returns the query of a call that waits for a change. The answer of a service that does
+// not ask its other hosts first may be older than the call.
+func waitQuery(index uint64, wait time.Duration) url.Values {
+	return url.Values{
+		"index":      {strconv.FormatUint(index, 10)},
+		"wait":       {strconv.FormatInt(int64(wait/time.Millisecond), 10) + "ms"},
+		"consistent": {""},
+	}
+}
+
+func (h *consul) index(key string, index uint64, wait, margin time.Duration) (uint64, error) {
+	query := waitQuery(index, wait)
+	query.Set("keys", "")
+	out, err := h.call("index", fasthttp.MethodGet, pathKV+key, query, nil, wait+margin)
+	if err != nil {
+		return 0, err
 	}
-	pairs, newIndex, err := h.read("watch", key, query, wait+watchMargin)
+	if out.index == 0 {
+		return 0, &Error{Op: "index", Kind: KindRefused, Err: errs.New("an answer without an index")}
+	}
+	return out.index, nil
+}
+
+func (h *consul) watch(key string, index uint64, wait time.Duration) (Pair, uint64, error) {
+	pairs, newIndex, err := h.read("watch", key, waitQuery(index, wait), wait+watchMargin)
 	if err != nil || len(pairs) == 0 {
 		return Pair{Key: key}, newIndex, err
 	}
