origin: a record of releases covers nothing that a set clock has made up (ORDER)

Cause: the record has a time of day, which other entries compare with theirs, and is right within 10 s. An entry whose clock is set by more while it runs reads an age that is too large, or begins the record, or records a gap in it, at a time that is too early. A record that lies in the future covered nothing before as well.

Fix: a reader takes the smaller age, by its clock as it was at the start and as it is. A keeper writes the later time by both, and counts the record as complete only since its clock was set. So the record covers too much only if both clocks of an entry are wrong. The price: refused take-ups by entries that do not know the releases themselves, for the window and 10 s after a keeper's clock was set, and for as long as a keeper's clock was ahead, or a reader's behind.

TestRecordStays: the keeper does not write it again and again. Ruled out: Within, Listed, Returned and CompleteFor, which use the elapsed time.

--- a/direct/origin.go
+++ b/direct/origin.go
@@ -296,7 +296,7 @@
 		return "", originUnknown // The record may lack the releases that came shortly before.
 	}
 	record, ok := e.readRecord(now, q.service.Name)
-	if !ok || !record.Covers(now, window) {
+	if !ok || !e.origins.releases.Covers(now, record, window) {
 		return "", originUnknown
 	}
 	release, _ := origin.Sole(slices.Concat(seen, record.Releases))
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -5,6 +5,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"cactustide/fakes"
 )
 
 var start = time.Unix(1000, 0)
@@ -262,6 +264,149 @@
 	}
 }
 
+// TestRecordClockSet guards against a record that covers a time which it does not, as the clock of the
+// entry that keeps or reads it was set (ORDER).
+func TestRecordClockSet(t *testing.T) {
+	const window = time.Minute
+	begin := time.Now()
+	at := func(s int) time.Time { return begin.Add(time.Duration(s) * time.Second) }
+	ahead := func(s int) time.Time { return fakes.StepClock(at(s), time.Hour) }
+	behind := func(s int) time.Time { return fakes.StepClock(at(s), -time.Hour) }
+	// written is the record as it is read from the store, without a monotonic clock.
+	written := func(r Record) Record { return Record{Since: r.Since.Round(0), Releases: r.Releases} }
+	begun := func(r *Releases) Record {
+		record, _ := r.Begin()
+		return written(record)
+	}
+	tests := map[string]struct {
+		// keep returns the record that is kept, and what the entry that reads it knows.
+		keep func() (Record, *Releases)
+		// read is the clock of the one that reads, from is from when on the record covers the window,
+		// seconds; 0 means never.
+		read func(s int) time.Time
+		from int
+	}{
+		"no clock": {read: at, from: 71, keep: func() (Record, *Releases) {
+			keeper := NewReleases(at(0), false)
+			keeper.SetComplete(at(1), true)
+			return begun(keeper), NewReleases(at(0), false)
+		}},
+		"the reader's, set ahead": {read: ahead, from: 71, keep: func() (Record, *Releases) {
+			keeper := NewReleases(at(0), false)
+			keeper.SetComplete(at(1), true)
+			return begun(keeper), NewReleases(at(0), false)
+		}},
+		"the reader's, set back": {read: behind, keep: func() (Record, *Releases) {
+			keeper := NewReleases(at(0), false)
+			keeper.SetComplete(at(1), true)
+			return begun(keeper), NewReleases(at(0), false)
+		}},
+		"the reader's, by less than two may differ": {
+			read: func(s int) time.Time { return fakes.StepClock(at(s), -5*time.Second) }, from: 76,
+			keep: func() (Record, *Releases) {
+				keeper := NewReleases(at(0), false)
+				keeper.SetComplete(at(1), true)
+				return begun(keeper), NewReleases(at(0), false)
+			},
+		},
+		"the reader's, set right from ahead": {read: at, from: 71, keep: func() (Record, *Releases) {
+			keeper := NewReleases(at(0), false)
+			keeper.SetComplete(at(1), true)
+			return begun(keeper), NewReleases(ahead(0), false)
+		}},
+		"the reader's, set right from behind": {read: at, keep: func() (Record, *Releases) {
+			keeper := NewReleases(at(0), false)
+			keeper.SetComplete(at(1), true)
+			return begun(keeper), NewReleases(behind(0), false)
+		}},
+		"the keeper's, set right before it begins the record": {read: at, from: 90, keep: func() (Record, *Releases) {
+			keeper := NewReleases(behind(0), false)
+			keeper.SetComplete(behind(1), true)
+			keeper.SetComplete(at(20), true)
+			return begun(keeper), NewReleases(at(0), false)
+		}},
+		"the keeper's, set right after it began the record": {read: at, from: 90, keep: func() (Record, *Releases) {
+			keeper := NewReleases(behind(0), false)
+			keeper.SetComplete(behind(1), true)
+			record := begun(keeper)
+			keeper.SetComplete(at(20), true)
+			return written(keeper.Continue(record)), NewReleases(at(0), false)
+		}},
+		"the keeper's, set back before a gap": {read: at, from: 95, keep: func() (Record, *Releases) {
+			keeper := NewReleases(at(0), false)
+			keeper.SetComplete(at(1), true)
+			record := begun(keeper)
+			keeper.SetComplete(behind(20), true)
+			keeper.RecordListing(behind(25), false)
+			return written(keeper.Continue(record)), NewReleases(at(0), false)
+		}},
+		"the keeper's, set back before it begins the record": {read: at, from: 95, keep: func() (Record, *Releases) {
+			keeper := NewReleases(at(0), false)
+			keeper.SetComplete(behind(20), false)
+			keeper.SetComplete(behind(25), true)
+			return begun(keeper), NewReleases(at(0), false)
+		}},
+		"the keeper's, set ahead": {read: at, keep: func() (Record, *Releases) {
+			keeper := NewReleases(at(0), false)
+			keeper.SetComplete(at(1), true)
+			record := begun(keeper)
+			keeper.SetComplete(ahead(20), true)
+			return written(keeper.Continue(record)), NewReleases(at(0), false)
+		}},
+		"the keeper's, set back to the right time": {read: at, from: 90, keep: func() (Record, *Releases) {
+			keeper := NewReleases(ahead(0), false)
+			keeper.SetComplete(ahead(1), true)
+			keeper.SetComplete(at(20), true)
+			return written(keeper.Continue(Record{Since: at(1)})), NewReleases(at(0), false)
+		}},
+		"the keeper's, a record since ever": {read: at, from: 30, keep: func() (Record, *Releases) {
+			keeper := NewReleases(behind(0), false)
+			keeper.SetComplete(behind(1), true)
+			keeper.SetComplete(at(20), true)
+			return written(keeper.Continue(Record{})), NewReleases(at(0), false)
+		}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			record, reader := test.keep()
+			for s := 30; s < 300; s++ {
+				want := test.from > 0 && s >= test.from
+				if got := reader.Covers(test.read(s), record, window); got != want {
+					t.Fatalf("got covers %v after %d s, want %v: since %v", got, s, want, record.Since.Sub(begin.Round(0)))
+				}
+			}
+			if !reader.Covers(test.read(30), Record{}, window) {
+				t.Error("got a record since ever that does not cover the window, want it to")
+			}
+		})
+	}
+}
+
+// TestRecordStays guards against a record that is written again and again, as the clock of its keeper
+// was set: each look at it must say the same.
+func TestRecordStays(t *testing.T) {
+	begin := time.Now()
+	for name, step := range map[string]time.Duration{"ahead": time.Hour, "back": -time.Hour} {
+		t.Run(name, func(t *testing.T) {
+			keeper := NewReleases(begin, false)
+			keeper.SetComplete(begin.Add(time.Second), true)
+			record, _ := keeper.Begin()
+			for i := range 100 {
+				at := fakes.StepClock(begin.Add(time.Duration(20+i)*time.Second), step)
+				keeper.SetComplete(at, true)
+				if i == 0 {
+					keeper.RecordListing(at, false)
+				}
+				next := keeper.Continue(record)
+				if i > 0 && !next.Equal(record) {
+					t.Fatalf("got since %v after %v in look %d, want the same", next.Since, record.Since, i)
+				}
+				record = next
+			}
+		})
+	}
+}
+
 // TestSole checks that only one known release counts.
 func TestSole(t *testing.T) {
 	for name, test := range map[string]struct {
--- a/origin/release.go
+++ b/origin/release.go
@@ -25,6 +25,10 @@
 	// last listed all registrations as the changes before were lost, and returnedAt when the
 	// platform's store last came back from an older copy.
 	skippedAt, listedAt, returnedAt time.Time
+	// setAt is when the time of day was last found to be set, and offset by how much it has gone beyond
+	// the elapsed time since the start until then.
+	setAt  time.Time
+	offset time.Duration
 }
 
 // startTime is the time in which the entries of a system start, and know the registrations.
@@ -46,10 +50,33 @@
 	r.seen[service][release] = now
 }
 
+// byStart returns the time of day of a moment as it would be if the clock had not been set since the start.
+func (r *Releases) byStart(at time.Time) time.Time {
+	return r.startedAt.Round(0).Add(at.Sub(r.startedAt))
+}
+
+// latestDay returns the time of day of a moment for a record, whose readers have other clocks: the later
+// one by this clock as it was and as it is, if it was set.
+func (r *Releases) latestDay(at time.Time) time.Time {
+	day, byStart := at.Round(0), r.byStart(at)
+	if byStart.Sub(day) > clockSkew {
+		return byStart
+	}
+	return day
+}
+
+// checkClock records whether the clock was set since the last call.
+func (r *Releases) checkClock(now time.Time) {
+	if offset := now.Round(0).Sub(r.byStart(now)); (offset - r.offset).Abs() > clockSkew {
+		r.setAt, r.offset = now, offset
+	}
+}
+
 // SetComplete records whether the entry sees all registrations.
 func (r *Releases) SetComplete(now time.Time, complete bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.checkClock(now)
 	switch {
 	case complete && r.since.IsZero():
 		r.since, r.always = now, r.first && now.Sub(r.startedAt) <= startTime
@@ -128,17 +155,31 @@
 	if r.isAlways() {
 		return Record{}, true
 	}
-	return Record{Since: r.completeSince()}, !r.since.IsZero()
+	return Record{Since: later(r.latestDay(r.completeSince()), r.setAt.Round(0))}, !r.since.IsZero()
 }
 
-// Continue returns a record that this entry keeps, without the time in which it has lost changes.
+// Continue returns a record that this entry keeps, without the time in which it has lost changes. If its
+// clock was set, the times that it wrote before may be wrong.
 func (r *Releases) Continue(record Record) Record {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	record.Since = later(record.Since, r.listedAt.Truncate(recordUnit))
+	if !r.listedAt.IsZero() {
+		record.Since = later(record.Since, r.latestDay(r.listedAt).Truncate(recordUnit))
+	}
+	if !record.Since.IsZero() {
+		record.Since = later(record.Since, r.setAt.Round(0).Truncate(recordUnit))
+	}
 	return record
 }
 
+// Covers reports whether a record has all releases that were in service within a window before now, by
+// this clock as it was at the start and as it is.
+func (r *Releases) Covers(now time.Time, record Record, window time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return record.Covers(now, window) && record.Covers(r.byStart(now), window)
+}
+
 // Within returns the releases of a service that were seen within a window before now, sorted, and
 // whether these are all that were in service in that time.
 func (r *Releases) Within(now time.Time, service string, window time.Duration) (list []string, complete bool) {
