labs: the reads of entries that watch the platform for 4 s

The watches of entry wait 4 s in place of 30 s, so that one that is never answered is given up within seconds.

--- a/labs/capacity.go
+++ b/labs/capacity.go
@@ -33,7 +33,7 @@
 	syncSeconds        = 5.0  // limits.sync.
 	currentSyncSeconds = 0.5
 	hostPollSeconds    = 2.0
-	watchSeconds       = 30.0
+	watchSeconds       = 4.0
 	usageWriteSeconds  = 5.0
 	queuedAtPeak       = 20.0 // Requests in an agent's queue.
 )
