meter: the end of the log neither collects lines nor waits for a reader

Close did not return while nobody read the output; nothing else ends the process then.

Cause: Close let the writer sleep its 50 ms for collecting lines, twice if a line had come meanwhile, and then waited for the output without a bound. Class: a wait in the stop that nothing wakes or bounds.

Fix: Close wakes the writer, which writes at once, and waits 100 ms for the output at most. Lines that it has not taken by then are lost.

TestAsyncWriterCloseAtOnce failed before (94 ms for the fastest of 10, 25 allowed), TestAsyncWriterCloseEnds too (no end within 1 s); both pass.

--- a/meter/writer.go
+++ b/meter/writer.go
@@ -13,6 +13,8 @@
 	maxBufferedBytes = 1 << 20
 	// flushDelay batches lines, so that a busy process writes many at once.
 	flushDelay = 50 * time.Millisecond
+	// closeTimeout bounds the wait of Close for an output that takes no lines.
+	closeTimeout = 100 * time.Millisecond
 )
 
 // AsyncWriter writes log lines in the background, from a bounded buffer. Lines that
@@ -22,6 +24,7 @@
 	mu      sync.Mutex
 	buffer  bytes.Buffer
 	wake    chan struct{}
+	closing chan struct{}
 	done    chan struct{}
 	dropped atomic.Int64
 	closed  bool
@@ -30,7 +33,7 @@
 // NewAsyncWriter returns a writer in front of out and starts its goroutine, which
 // Close ends.
 func NewAsyncWriter(out io.Writer) *AsyncWriter {
-	w := &AsyncWriter{out: out, wake: make(chan struct{}, 1), done: make(chan struct{})}
+	w := &AsyncWriter{out: out, wake: make(chan struct{}, 1), closing: make(chan struct{}), done: make(chan struct{})}
 	go w.run()
 	return w
 }
@@ -58,11 +61,22 @@
 func (w *AsyncWriter) run() {
 	defer close(w.done)
 	var scratch []byte
-	for range w.wake {
-		time.Sleep(flushDelay)
+	timer := time.NewTimer(flushDelay)
+	defer timer.Stop()
+	for {
+		select {
+		case <-w.wake:
+		case <-w.closing:
+			w.flush(scratch)
+			return
+		}
+		timer.Reset(flushDelay)
+		select {
+		case <-timer.C:
+		case <-w.closing:
+		}
 		scratch = w.flush(scratch)
 	}
-	w.flush(scratch)
 }
 
 func (w *AsyncWriter) flush(scratch []byte) []byte {
@@ -79,7 +93,8 @@
 	return scratch
 }
 
-// Close writes the buffered lines and ends the goroutine.
+// Close writes the buffered lines and ends the goroutine. If the output takes none for closeTimeout,
+// it returns without that.
 func (w *AsyncWriter) Close() {
 	w.mu.Lock()
 	if w.closed {
@@ -87,7 +102,10 @@
 		return
 	}
 	w.closed = true
-	close(w.wake)
+	close(w.closing)
 	w.mu.Unlock()
-	<-w.done
+	select {
+	case <-w.done:
+	case <-time.After(closeTimeout):
+	}
 }
--- a/meter/writer_test.go
+++ b/meter/writer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"strings"
 	"sync"
 	"testing"
@@ -59,3 +60,40 @@
 	}
 	w.Close()
 }
+
+// TestAsyncWriterCloseEnds guards against a process that does not end after a planned stop, because
+// nobody reads what it logs.
+func TestAsyncWriterCloseEnds(t *testing.T) {
+	out := &blockingWriter{release: make(chan struct{})}
+	w := NewAsyncWriter(out)
+	_, _ = w.Write([]byte("line\n"))
+	closed := make(chan struct{})
+	go func() {
+		w.Close()
+		close(closed)
+	}()
+	select {
+	case <-closed:
+	case <-time.After(time.Second):
+		t.Error("got no end of Close while the output was blocked, want it within 1 s")
+	}
+	close(out.release)
+	<-closed
+}
+
+// TestAsyncWriterCloseAtOnce guards against a stop that waits until lines are collected.
+func TestAsyncWriterCloseAtOnce(t *testing.T) {
+	least := time.Hour
+	for range 10 {
+		w := NewAsyncWriter(io.Discard)
+		_, _ = w.Write([]byte("first\n"))
+		time.Sleep(flushDelay / 10) // It collects lines.
+		_, _ = w.Write([]byte("second\n"))
+		begin := time.Now()
+		w.Close()
+		least = min(least, time.Since(begin))
+	}
+	if least > flushDelay/2 {
+		t.Errorf("got %v for the fastest of 10, want at most %v", least, flushDelay/2)
+	}
+}
