direct: a stop waits for no operator, peer or store

What was seen: with a grace of 1 s a planned stop lasted 4.8 and 4.9 s beside an operator's connection that sent nothing or half a head, more than 30 s beside one with half a body, 7.4 s where eight peers did not tell their state, 2.0 s where one did not tell changes, 8.2 s where the store did not answer for the records of 20 services. The platform kills a process that is late.

Cause: Close waits for the admin server without a bound, and for the loops, whose calls of 0.4 to 2 s come one after the other, although each begins before the stop. Class: a bound of each step, none of their sum.

Fix: the calls of the loops, and the connection that is opened after an aborted exchange, are left behind when the loops end, as the watches were; operators get 20 ms. Drain still ends at most half of the last eighth before the kill.

The connection after an aborted exchange has no test: a connection that hangs in its opening cannot be had on loopback.

--- a/direct/crash.go
+++ b/direct/crash.go
@@ -234,14 +234,16 @@
 	}
 	limit := e.connLimit(q)
 	e.group.Go(func() error {
-		c, err := e.pool.Open(to.Address, limit)
-		e.probing.Delete(to.ID)
-		if err == nil {
-			e.pool.Put(time.Now(), c, defaultIdleTimeout)
-		} else if isConnRefused(err) {
-			e.ban(time.Now(), to, err)
-		}
-		return nil
+		return e.callWithContext(e.ending, func() error {
+			c, err := e.pool.Open(to.Address, limit)
+			e.probing.Delete(to.ID)
+			if err == nil {
+				e.pool.Put(time.Now(), c, defaultIdleTimeout)
+			} else if isConnRefused(err) {
+				e.ban(time.Now(), to, err)
+			}
+			return nil
+		})
 	})
 }
 
--- a/direct/entry.go
+++ b/direct/entry.go
@@ -49,6 +49,8 @@
 	sweepInterval = 250 * time.Millisecond
 	// statusLogInterval is the time between two status lines in the log.
 	statusLogInterval = 5 * time.Second
+	// adminCloseTimeout bounds the wait for operators' requests at the end of a stop.
+	adminCloseTimeout = 20 * time.Millisecond
 )
 
 // Entry is a running entry: the process that accepts callers' requests and
@@ -359,7 +361,9 @@
 	_ = e.callerServer.Close() // Closing twice is harmless.
 	_ = e.readyServer.Close()
 	if e.adminServer != nil {
-		_ = e.adminServer.Shutdown()
+		ctx, cancel := context.WithTimeout(context.Background(), adminCloseTimeout)
+		_ = e.adminServer.ShutdownWithContext(ctx) // What is left ends with the process.
+		cancel()
 	}
 	e.servers.Wait()
 	step("servers")
--- a/direct/join.go
+++ b/direct/join.go
@@ -128,7 +128,14 @@
 			if !ok {
 				return nil
 			}
-			reply, err := e.gossiper.FetchCacheState(peer)
+			var reply *wire.CacheStateReply
+			err := e.callWithContext(e.ending, func() (err error) {
+				reply, err = e.gossiper.FetchCacheState(peer)
+				return err
+			})
+			if e.ending.Err() != nil {
+				return nil
+			}
 			if err != nil {
 				e.log.With("peer", peer).Warnf("cannot fetch cache state from the peer: %v", err)
 				continue
--- a/direct/origin.go
+++ b/direct/origin.go
@@ -541,7 +541,15 @@
 				}
 				lackingSince[service], kept[service] = now, nil // The keeper may have written it since.
 			}
-			next, err := e.updateRecord(now, service, keep, keeper, kept[service])
+			known := kept[service]
+			var next *keptRecord
+			err := e.callWithContext(ctx, func() (err error) {
+				next, err = e.updateRecord(now, service, keep, keeper, known)
+				return err
+			})
+			if ctx.Err() != nil {
+				return nil // The call may go on.
+			}
 			if err != nil {
 				e.log.With("service", service).Warnf("cannot keep the record of releases: %v", err)
 				pausedUntil = now.Add(recordPause)
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -301,11 +301,11 @@
 		}
 		for i := range e.lags {
 			if process, ok := e.lags[i].due(now, limit); ok {
-				e.fetchSnapshot(i, process)
+				e.fetchUntil(ctx, i, process)
 			}
 		}
 		if process, ok := e.keptLag.due(now, maxLag); ok && e.rules.Version() < e.peerVersion.Load() {
-			e.fetchSnapshot(configPrefix, process) // The configuration in force comes with any prefix.
+			e.fetchUntil(ctx, configPrefix, process) // The configuration in force comes with any prefix.
 		}
 	}
 }
@@ -322,6 +322,15 @@
 	return l.process, true
 }
 
+// fetchUntil fetches from a peer what this entry lacks under a prefix. When ctx ends, it returns
+// without waiting for the peer.
+func (e *Entry) fetchUntil(ctx context.Context, prefix int, process uint64) {
+	_ = e.callWithContext(ctx, func() error { // A failed fetch is logged.
+		e.fetchSnapshot(prefix, process)
+		return nil
+	})
+}
+
 // fetchSnapshot fetches from a peer what this entry lacks under a prefix.
 func (e *Entry) fetchSnapshot(prefix int, process uint64) {
 	address := e.gossiper.PeerAddress(process)
--- a/direct/stack_test.go
+++ b/direct/stack_test.go
@@ -69,6 +69,8 @@
 	readLate atomic.Int64
 	// watchStuck leaves watches without an answer.
 	watchStuck atomic.Bool
+	// getStuck leaves reads of single keys without an answer.
+	getStuck atomic.Bool
 	// peersCut drops what the peers send.
 	peersCut atomic.Bool
 	closed   bool
@@ -185,6 +187,10 @@
 		if e.storeCut.Load() {
 			return store.Item{}, false, store.Position{}, errCut
 		}
+		if e.getStuck.Load() {
+			time.Sleep(limit)
+			return store.Item{}, false, store.Position{}, errCut
+		}
 		return get(key, limit)
 	}
 	c.Swap = func(key string, value []byte, expected store.Position, limit time.Duration) (store.Position, bool, error) {
