soak: a late stop is reported with the state of the process and its waits for a processor

"still ran 3s after SIGTERM" did not tell an entry that was busy or waited from one that got no processor, nor from one that had ended while this program was late itself (state Z). The check and its bound are as before. TestProcessState, TestLongestWait.

--- a/soak/fault.go
+++ b/soak/fault.go
@@ -129,6 +129,8 @@
 		begin := time.Now()
 		stalls := watchStalls()
 		defer stalls.close()
+		pid := p.cmd.Process.Pid
+		waitsBefore := processorWaits(pid)
 		_ = p.cmd.Process.Signal(syscall.SIGTERM)
 		select {
 		case <-p.done:
@@ -136,7 +138,8 @@
 		case <-time.After(stopGracePeriod):
 			// A process that is paused cannot stop.
 			if !r.wasEntryPaused(p, begin, time.Now()) {
-				r.reportViolation("stop", "%s still ran %v after SIGTERM; this process itself was kept waiting for up to %v meanwhile", p.name, stopGracePeriod, stalls.longest())
+				r.reportViolation("stop", "%s still ran %v after SIGTERM; state %q, a thread of it waited %v for a processor; this process itself was kept waiting for up to %v meanwhile",
+					p.name, stopGracePeriod, processState(pid), longestWait(waitsBefore, processorWaits(pid)), stalls.longest())
 			}
 		}
 	}
