soak: a probe is not sent a second time by the HTTP client

Cause, by the logs: entry-0 had sent the request on to u-3+v5 and was killed by the plan 0.96 s later. Its next process, which listened 14 ms after that, answered the same id 503, with no request sent. net/http sends a GET again by itself if a used connection breaks before an answer; the check took the two requests for one. Ruled out: an entry that refuses what has run (its process had no end of the request in its log).

Fix: the body of a GET is one that net/http does not know as empty, so that it does not send it again; the bytes are the same. The check is as before, and sees the broken connection as such now. The other callers send POST, which is not sent again.

--- a/soak/run.go
+++ b/soak/run.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"runtime"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -371,6 +372,7 @@
 	if err != nil {
 		return ex
 	}
+	keepFromResending(req)
 	resp, err := client.Do(req)
 	if err == nil {
 		body, readErr := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes))
@@ -389,6 +391,15 @@
 	return ex
 }
 
+// keepFromResending keeps the HTTP client from sending a GET again by itself when its connection breaks:
+// the second answer would count as the answer to the first request, which may have run.
+func keepFromResending(req *http.Request) {
+	if req.Method == http.MethodGet {
+		req.Body = io.NopCloser(strings.NewReader("")) // Sent as no body, but not known as one.
+	}
+	req.GetBody = nil
+}
+
 // recordDisturbance records that an entry has a fault for a time from now; -1 means all.
 func (r *runner) recordDisturbance(entry int, duration time.Duration) {
 	now := time.Now()
