direct: an early answer that is late does not count as one from the end of the wait (DENIED)

What callers saw: 404 on an added route 2.0 s after it was written, by an entry whose store answers watches without waiting, once the way to it had become as late as the wait.

Cause: an answer without changes that is read after the end of the watch's wait was dated at that end, as if the store always waited. The copy counted as confirmed for up to the wait too long. The watch right after a change is the longest one at such a store; the others wait too short to matter.

Fix: a store that has answered a watch early counts as one that does not wait, until three watches of 0.1 s or more have ended soon after their wait; until then an answer counts as of the begin of its call. Waits are cut to the milliseconds that the store is told: one of 799.6 ms looked as if it had ended early.

Ruled out: dating each answer from the begin of its call. The copy would be 0.8 s old when a watch ends, and a silence of 1 s that begins then ends in 503 (the case of TestRefusalAfterSilence).

Not covered: a store whose first early answer comes as late as the wait.

--- a/direct/refuse_test.go
+++ b/direct/refuse_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strings"
 	"sync"
@@ -182,6 +183,45 @@
 	}
 }
 
+// TestRefusalBesideEarlyAnswers guards against a refusal of an added route (404) by an entry that takes an
+// answer which was on its way for as long as the wait of its watch for one that the store gave at the end
+// of that wait. The watch right after a change is the longest one at a store that does not wait (CONFIG, DENIED).
+func TestRefusalBesideEarlyAnswers(t *testing.T) {
+	for _, late := range []time.Duration{500 * time.Millisecond, 1100 * time.Millisecond, 1250 * time.Millisecond, 1400 * time.Millisecond} {
+		for _, offset := range []time.Duration{70 * time.Millisecond, 120 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond} {
+			t.Run(fmt.Sprint(late, " late, ", offset), func(t *testing.T) {
+				t.Parallel()
+				log := &logBuffer{}
+				s := newStackOf(t, stackOptions{entries: 1, fullWait: true, log: log})
+				way := func(d stand.Delivery) {
+					s.store.SetFaults(stand.StoreFaults{Deliveries: map[string]stand.Delivery{"": d}})
+				}
+				get := func(path string) callerResponse {
+					return s.send(context.Background(), s.entries[0], callerRequest{method: http.MethodGet, path: path, key: testKey})
+				}
+				way(stand.Delivery{NoWait: true})
+				time.Sleep(2 * time.Second)
+				other := addedRoute
+				other.Prefix = "/other/"
+				routes := append([]stand.Route{other}, testRoutes...)
+				s.store.Put("op/config", testConfig(2, routes))
+				waitFor(t, "the first version in force", func() bool { return get("/other/a").status == http.StatusOK })
+				way(stand.Delivery{NoWait: true, Late: late})
+				time.Sleep(offset)
+				s.store.Put("op/config", testConfig(3, append([]stand.Route{addedRoute}, routes...)))
+				acknowledged := time.Now()
+				time.Sleep(applyTime)
+				for time.Since(acknowledged) < 2*applyTime {
+					if got := get("/added/a"); got.status == http.StatusNotFound || got.status == http.StatusUnauthorized {
+						t.Fatalf("got %d %v after the route was written, %v", got.status, time.Since(acknowledged), log.lastLine(t, got.id))
+					}
+					time.Sleep(10 * time.Millisecond)
+				}
+			})
+		}
+	}
+}
+
 // TestConfirmedBetweenChanges guards against a 503 in place of a 404 where nothing is wrong, as each
 // watch ends with a change shortly before its wait is over.
 func TestConfirmedBetweenChanges(t *testing.T) {
--- a/direct/watch.go
+++ b/direct/watch.go
@@ -30,6 +30,12 @@
 	// confirmMargin is how long before the copy of the configuration no longer counts as confirmed
 	// a watch of it ends.
 	confirmMargin = 100 * time.Millisecond
+	// A store that has answered a watch without a change earlier than waitSlack before the end of the
+	// wait counts as one that does not wait, until provingWaits watches of at least provingWait have
+	// ended within provingWait after theirs.
+	waitSlack    = 10 * time.Millisecond
+	provingWaits = 3
+	provingWait  = 100 * time.Millisecond
 	// unansweredTime is what a watch that is never answered takes beyond its wait, with the pause and
 	// the two calls after it.
 	unansweredTime = time.Second
@@ -134,6 +140,9 @@
 	// outage is set once the failures show that the store is away.
 	outage  bool
 	backoff time.Duration
+	// unproven is how many more watches have to last for their wait before the store counts as one
+	// that waits.
+	unproven int
 	// earlyPause is the pause after the next call that returns nothing at once.
 	earlyPause time.Duration
 	// delay is the time from the last failed call to the next one.
@@ -177,7 +186,7 @@
 	if !w.downSince.IsZero() {
 		wait = probeTimeout
 	}
-	wait = wait.Truncate(time.Millisecond) // As the store is told; the answer is dated from the end of the wait.
+	wait = max(minWait, wait.Truncate(time.Millisecond)) // The store counts whole milliseconds.
 	changes, err := e.store.Watch(prefix, w.position, wait)
 	if err != nil {
 		return err
@@ -195,17 +204,30 @@
 		return nil
 	}
 	w.changed = len(changes.Items) > 0
-	// The answer may have waited for long to be read, as in a process that stood still.
-	answeredFrom := now
-	if end := now.Add(wait); !w.changed && !time.Now().Before(end) {
-		answeredFrom = end // The store waits until then for a change.
-	}
-	e.settle(w.prefix, changes.Position, answeredFrom, func() { e.applyChanges(time.Now(), w.prefix, sourceWatch, changes) })
+	e.settle(w.prefix, changes.Position, w.answeredFrom(now, time.Now(), wait), func() { e.applyChanges(time.Now(), w.prefix, sourceWatch, changes) })
 	e.recordObserved(w.prefix, w.position, changes.Position)
 	w.position = store.Later(w.position, changes.Position)
 	return nil
 }
 
+// answeredFrom returns the earliest time at which the store can have given an answer that is read now,
+// to a watch that began with a wait. The answer may have been on its way, or lain unread, for long.
+func (w *prefixWatcher) answeredFrom(began, now time.Time, wait time.Duration) time.Time {
+	took := now.Sub(began)
+	switch {
+	case w.changed:
+		return began
+	case took+waitSlack < wait:
+		w.unproven = provingWaits
+	case w.unproven > 0 && wait >= provingWait && took >= wait && took < wait+provingWait:
+		w.unproven--
+	}
+	if took < wait || w.unproven > 0 {
+		return began
+	}
+	return began.Add(wait) // The store waits until then for a change.
+}
+
 // configWait returns how long a watch of the configuration waits: if it is not answered, a later call
 // can still confirm the copy while that counts as confirmed. An entry that shares the watches with others
 // waits for a short time anyway, and hears from them.
