--- a/direct/calm_test.go
+++ b/direct/calm_test.go
@@ -7,6 +7,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"cactustide/fakes"
 )
 
 // TestRefusalInCalm guards against a 503 in place of a 404 where nothing is wrong (DENIED), for each
@@ -17,7 +19,7 @@
 		for _, apply := range []time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second, 5 * time.Second} {
 			t.Run(fmt.Sprintf("%d entries, in force within %v", entries, apply), func(t *testing.T) {
 				t.Parallel()
-				log := &logBuffer{}
+				log := &fakes.LogBuffer{}
 				s := newStackOf(t, stackOptions{entries: entries, fullWait: true, applyTimeout: apply, log: log})
 				if entries >= 8 {
 					s.waitForRoles()
@@ -36,7 +38,7 @@
 								continue
 							}
 							unknown++
-							if age, ok := log.lastLine(t, got.id)["confirmed"].(float64); ok {
+							if age, ok := log.LastLine(t, got.id)["confirmed"].(float64); ok {
 								worst = max(worst, age)
 							}
 						}
--- a/direct/delivery_test.go
+++ b/direct/delivery_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"cactustide/fakes"
 	"cactustide/platform/stand"
 )
 
@@ -268,7 +269,7 @@
 	for _, ending := range []stand.Ending{stand.EndingClose, stand.EndingReset, stand.EndingIdle} {
 		t.Run(string(ending), func(t *testing.T) {
 			t.Parallel()
-			log := &logBuffer{}
+			log := &fakes.LogBuffer{}
 			s := newStackOf(t, stackOptions{entries: 1, fullWait: true, log: log})
 			s.store.SetFaults(stand.StoreFaults{Deliveries: map[string]stand.Delivery{"": {Ending: ending}}})
 			time.Sleep(2 * time.Second)
@@ -283,20 +284,13 @@
 			if got := len(left.ExecutedRequests()) - before; got != 0 {
 				t.Errorf("got %d requests at the upstream later than %v after its removal, want none", got, drainTime)
 			}
-			if got := log.count("store does not respond"); got > 0 {
+			if got := log.Count("store does not respond"); got > 0 {
 				t.Errorf("got the store reported as away %d times, want none", got)
 			}
 		})
 	}
 }
 
-// count returns the number of lines with a text.
-func (b *logBuffer) count(text string) int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return bytes.Count(b.text.Bytes(), []byte(text))
-}
-
 // TestDeliveryBesideTakeUps guards against a configuration that arrives late, or never, over a slow link
 // as streams of unknown origin are taken up, each of which asks the store for the same bytes (CONFIG).
 func TestDeliveryBesideTakeUps(t *testing.T) {
--- a/direct/origin_test.go
+++ b/direct/origin_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -11,6 +10,7 @@
 	"testing"
 	"time"
 
+	"cactustide/fakes"
 	"cactustide/platform/stand"
 )
 
@@ -481,12 +481,12 @@
 // TestOriginLogged guards against a line on a stream that is taken up that does not tell on which
 // knowledge an inferred origin rests.
 func TestOriginLogged(t *testing.T) {
-	log := &logBuffer{}
+	log := &fakes.LogBuffer{}
 	s := &streams{testStack: newStackOf(t, stackOptions{entries: 1, first: true, log: log})}
 	s.store.Put("op/config", testConfig(2, append([]stand.Route{takeRoute}, testRoutes...)))
 	waitFor(t, "version 2", func() bool { return s.hasVersion(s.entries[0], 2) })
 	got := s.resume(s.entries[0], stream{id: "ffff", last: 1}, nil)
-	line := log.firstLine(t, got.id)
+	line := log.FirstLine(t, got.id)
 	for _, field := range []string{"resumes", "last", "release", "source", "copy", "complete", "ms"} {
 		if line[field] == nil {
 			t.Errorf("got no %s in the line %v, want it", field, line)
@@ -494,23 +494,6 @@
 	}
 }
 
-// firstLine returns the fields of the first line about a request.
-func (b *logBuffer) firstLine(t *testing.T, id string) map[string]any {
-	t.Helper()
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for line := range strings.Lines(b.text.String()) {
-		var f map[string]any
-		if err := json.Unmarshal([]byte(line), &f); err != nil {
-			t.Fatalf("cannot decode the line %q: %v", line, err)
-		}
-		if f["request"] == id {
-			return f
-		}
-	}
-	return nil
-}
-
 // recordKey is the key of the record of the versions in service.
 func (s *streams) recordKey() string { return "releases/desk" }
 
--- a/direct/refuse_test.go
+++ b/direct/refuse_test.go
@@ -1,16 +1,13 @@
 package direct_test
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
-	"strings"
-	"sync"
 	"testing"
 	"time"
 
+	"cactustide/fakes"
 	"cactustide/platform/stand"
 )
 
@@ -20,36 +17,6 @@
 // addedRoute is on no route of the first configuration.
 var addedRoute = stand.Route{Host: testHost, Prefix: "/added/", Kind: "idempotent", Service: "desk", Timeout: time.Second, MaxAttempts: 2}
 
-// logBuffer keeps what entries log.
-type logBuffer struct {
-	mu   sync.Mutex
-	text bytes.Buffer
-}
-
-func (b *logBuffer) Write(line []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.text.Write(line)
-}
-
-// lastLine returns the fields of the last line about a request.
-func (b *logBuffer) lastLine(t *testing.T, id string) map[string]any {
-	t.Helper()
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	var fields map[string]any
-	for line := range strings.Lines(b.text.String()) {
-		var f map[string]any
-		if err := json.Unmarshal([]byte(line), &f); err != nil {
-			t.Fatalf("cannot decode the line %q: %v", line, err)
-		}
-		if f["request"] == id {
-			fields = f
-		}
-	}
-	return fields
-}
-
 // TestRefusalLogged guards against a refusal whose line does not tell on which configuration it
 // rests, and why the entry has no newer one.
 func TestRefusalLogged(t *testing.T) {
@@ -68,14 +35,14 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			log := &logBuffer{}
+			log := &fakes.LogBuffer{}
 			s := newStackOf(t, stackOptions{entries: 1, log: log})
 			s.entries[0].storeCut.Store(test.cut)
 			if test.cut {
 				waitFor(t, "the store's absence noticed", func() bool { return s.isPrefixDown(t, s.entries[0], "op/config") })
 			}
 			got := s.send(context.Background(), s.entries[0], test.request)
-			line := log.lastLine(t, got.id)
+			line := log.LastLine(t, got.id)
 			for _, field := range append([]string{"version", "since", "source", "era", "revision", "copy", "highest"}, test.want...) {
 				if line[field] == nil {
 					t.Errorf("got no %s in the line %v, want it", field, line)
@@ -191,7 +158,7 @@
 		for _, offset := range []time.Duration{70 * time.Millisecond, 120 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond} {
 			t.Run(fmt.Sprint(late, " late, ", offset), func(t *testing.T) {
 				t.Parallel()
-				log := &logBuffer{}
+				log := &fakes.LogBuffer{}
 				s := newStackOf(t, stackOptions{entries: 1, fullWait: true, log: log})
 				way := func(d stand.Delivery) {
 					s.store.SetFaults(stand.StoreFaults{Deliveries: map[string]stand.Delivery{"": d}})
@@ -213,7 +180,7 @@
 				time.Sleep(applyTime)
 				for time.Since(acknowledged) < 2*applyTime {
 					if got := get("/added/a"); got.status == http.StatusNotFound || got.status == http.StatusUnauthorized {
-						t.Fatalf("got %d %v after the route was written, %v", got.status, time.Since(acknowledged), log.lastLine(t, got.id))
+						t.Fatalf("got %d %v after the route was written, %v", got.status, time.Since(acknowledged), log.LastLine(t, got.id))
 					}
 					time.Sleep(10 * time.Millisecond)
 				}
@@ -257,7 +224,7 @@
 			since := time.Duration(phase) * phaseStep
 			t.Run(name+", "+since.String()+" after a change", func(t *testing.T) {
 				t.Parallel()
-				log := &logBuffer{}
+				log := &fakes.LogBuffer{}
 				d := &drill{testStack: newStackOf(t, stackOptions{entries: 1, fullWait: true, log: log})}
 				d.configure(2, false)
 				d.waitForVersion(2, time.Second)
@@ -269,7 +236,7 @@
 				for end := time.Now().Add(applyTime); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 					got := d.send(context.Background(), d.entry(0), callerRequest{path: "/read/a", key: revokedKey})
 					if got.status != http.StatusUnauthorized {
-						t.Fatalf("got status %d %v, want 401", got.status, log.lastLine(t, got.id))
+						t.Fatalf("got status %d %v, want 401", got.status, log.LastLine(t, got.id))
 					}
 				}
 			})
--- a/entry/refuse_test.go
+++ b/entry/refuse_test.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -26,42 +25,12 @@
 // applyTime is the time within which a change must be in force.
 const applyTime = 2 * time.Second
 
-// logBuffer keeps what an entry logs.
-type logBuffer struct {
-	mu   sync.Mutex
-	text bytes.Buffer
-}
-
-func (b *logBuffer) Write(line []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.text.Write(line)
-}
-
-// line returns the fields of the last line about a request.
-func (b *logBuffer) line(t *testing.T, id string) map[string]any {
-	t.Helper()
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	var fields map[string]any
-	for line := range strings.Lines(b.text.String()) {
-		var f map[string]any
-		if err := json.Unmarshal([]byte(line), &f); err != nil {
-			t.Fatalf("cannot decode the line %q: %v", line, err)
-		}
-		if f["request"] == id {
-			fields = f
-		}
-	}
-	return fields
-}
-
 // servedEntry is an entry that serves callers, with the fake of the platform's service.
 type servedEntry struct {
 	t       *testing.T
 	kv      *fakes.KV
 	address string
-	log     *logBuffer
+	log     *fakes.LogBuffer
 	entry   *Entry
 }
 
@@ -110,7 +79,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(kv.Close)
-	s := &servedEntry{t: t, kv: kv, address: fakes.FreeAddress(), log: &logBuffer{}}
+	s := &servedEntry{t: t, kv: kv, address: fakes.FreeAddress(), log: &fakes.LogBuffer{}}
 	s.put(testDocument(1))
 	settings := &setup.Settings{Name: "e", Centre: "c", Listen: s.address, Admin: fakes.FreeAddress(), Platform: platform(kv.Address())}
 	settings.FillDefaults(func(string) string { return "" })
@@ -261,7 +230,7 @@
 					break
 				}
 				if time.Now().After(end) {
-					t.Fatalf("got %+v for no service 1 s after the end, want 404: %v", got, s.log.line(t, got.id))
+					t.Fatalf("got %+v for no service 1 s after the end, want 404: %v", got, s.log.LastLine(t, got.id))
 				}
 			}
 		})
@@ -288,7 +257,7 @@
 					time.Sleep(applyTime)
 				}
 				got := s.send(c.service, c.key, c.class)
-				line := s.log.line(t, got.id)
+				line := s.log.LastLine(t, got.id)
 				for _, field := range append([]string{"version", "stored", "since", "source", "index", "status"}, test.want...) {
 					if line[field] == nil {
 						t.Errorf("got no %s in the line %v, want it", field, line)
@@ -342,7 +311,7 @@
 				for time.Since(returned) < applyTime {
 					sent := time.Since(returned)
 					if got := s.send("none", firstKey, ""); got.status != fasthttp.StatusNotFound && (got.code != "unconfirmed" || sent > test.limit) {
-						t.Fatalf("got %+v %v after the return, want 404: %v", got, sent, s.log.line(t, got.id))
+						t.Fatalf("got %+v %v after the return, want 404: %v", got, sent, s.log.LastLine(t, got.id))
 					}
 					time.Sleep(10 * time.Millisecond)
 				}
