direct: a stream may have begun on a route that its path no longer has (ORDER)

Cause: what is inferred of a stream rested on the route that its path has now, and on three of its present timeouts. That there was no other route was taken for granted as none is seen (class: something counts as absent because it was not seen).

Fix: routeHistory keeps the routes of former versions whose streams may be resumed.

Not mended: an entry that started after the change (TestStreamRouteChangedBeforeStart, two rows, KNOWN-RED).

--- a/direct/origin.go
+++ b/direct/origin.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -87,6 +88,7 @@
 	confirmation confirmation
 	// reading is set, by prefix, while a confirmation's call goes on; it may outlast its time.
 	reading []atomic.Bool
+	routes  routeHistory
 }
 
 // recordRead is the last reading of a record, and began when it began.
@@ -281,10 +283,16 @@
 	if !e.confirmCopies(now) {
 		return "", originUnknown
 	}
-	window := q.streamWindow()
+	// The path may have had another route as the stream began, or its route another timeout.
+	path, _, _ := strings.Cut(q.target, "?")
+	services, window, ok := e.origins.routes.begun(now, q.host, path)
+	if !ok {
+		return "", originUnknown
+	}
+	window = max(window, q.streamWindow())
 	// A stream of a route that leads, or has led, to several services may be another one's.
-	services, _ := e.origins.releases.Within(now, routeKey(q.route), window)
-	if only, ok := origin.Sole(services); !ok || only != q.service.Name {
+	ofRoute, _ := e.origins.releases.Within(now, routeKey(q.route), window)
+	if only, ok := origin.Sole(slices.Concat(services, ofRoute)); !ok || only != q.service.Name {
 		return "", originUnknown
 	}
 	seen, complete := e.origins.releases.Within(now, q.service.Name, window)
--- a/direct/watch.go
+++ b/direct/watch.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/zeebo/errs"
 
 	"cactustide/fleet"
+	"cactustide/fresh"
 	"cactustide/meter"
 	"cactustide/store"
 )
@@ -453,6 +455,7 @@
 		return
 	}
 	now := time.Now()
+	e.origins.routes.adopt(now, c.Document, cmp.Or(e.settings.Load().ApplyTimeout, fresh.DefaultApplyTimeout))
 	e.configOrigin.Store(&configOrigin{at: now, source: src, position: item.Position})
 	e.keepConfig(item, c.Document.Version)
 	e.observeReleases(now) // The routes may lead to other services now.
--- a/rules/table.go
+++ b/rules/table.go
@@ -69,13 +69,18 @@
 	return t
 }
 
-// FindRoute returns the route of the host with the longest prefix of the path, or
-// nil. A port in the host is ignored.
-func (t *Table) FindRoute(host, path string) *Route {
+// HostName returns the name in a Host field in the form by which routes are found, without a port.
+func HostName(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
 	}
-	for _, r := range t.hosts[strings.ToLower(host)] {
+	return strings.ToLower(host)
+}
+
+// FindRoute returns the route of the host with the longest prefix of the path, or
+// nil. A port in the host is ignored.
+func (t *Table) FindRoute(host, path string) *Route {
+	for _, r := range t.hosts[HostName(host)] {
 		if strings.HasPrefix(path, r.Prefix) {
 			return r
 		}
