place: a prompt without a model is hashed as before

Cause: the hash of the first segment began with the model, also with an empty one, as in the emulator; other hashes spread its prompts over other upstreams.

--- a/place/upstream.go
+++ b/place/upstream.go
@@ -22,9 +22,10 @@
 func AppendSegment(segments []Segment, model, id string, tokens int) []Segment {
 	var d xxhash.Digest
 	d.Reset()
-	if len(segments) == 0 {
+	switch {
+	case len(segments) == 0 && model != "":
 		_, _ = d.WriteString(model + "\x00")
-	} else {
+	case len(segments) > 0:
 		var previous [8]byte
 		binary.BigEndian.PutUint64(previous[:], segments[len(segments)-1].Hash)
 		_, _ = d.Write(previous[:]) // Never fails.
