meter: a test waits for the writer's end before it counts the lines

Cause: since Close waits 100 ms for the output at most, and the test read the output's buffer after Close while the writer still wrote, on a busy machine. The writer itself loses nothing.

--- a/meter/writer_test.go
+++ b/meter/writer_test.go
@@ -42,6 +42,7 @@
 	}
 	close(out.release)
 	w.Close()
+	<-w.done // Close waits for a bounded time.
 	if got := int64(out.buffer.Len()/len(line)) + w.Dropped(); got != lines {
 		t.Errorf("got %d lines written or dropped, want %d", got, lines)
 	}
